--- a/include/nutmegdrift/base/clock.h
+++ b/include/nutmegdrift/base/clock.h
@@ -29,6 +29,14 @@
   [[nodiscard]] WallTime wallNow() const override;
 };
 
+/// Like SystemClock, but its monotonic time goes on while the machine is
+/// suspended. Timers of the event loop don't, so they may seem late.
+class SuspendAwareClock final : public Clock {
+public:
+  [[nodiscard]] TimePoint now() const override;
+  [[nodiscard]] WallTime wallNow() const override;
+};
+
 /// A clock that moves only when told to. Thread-safe.
 ///
 /// \code
--- a/include/nutmegdrift/base/error.h
+++ b/include/nutmegdrift/base/error.h
@@ -31,6 +31,7 @@
   BodyTooLarge,
   HeaderTooLarge,
   UnknownWorkspace,
+  UnknownKey,
   UnknownTarget,
   AccessDenied,
   DeadlinePassed,
--- /dev/null
+++ b/include/nutmegdrift/gateway/dialect.h
@@ -0,0 +1,74 @@
+// What the gateway has to know of a request or an answer, independent of how
+// the headers of a deployment spell it.
+#ifndef NUTMEGDRIFT_GATEWAY_DIALECT_H
+#define NUTMEGDRIFT_GATEWAY_DIALECT_H
+
+#include "nutmegdrift/base/error.h"
+#include "nutmegdrift/net/http_message.h"
+#include "nutmegdrift/routing/engine_estimate.h"
+#include "nutmegdrift/routing/replica_table.h"
+
+namespace nutmegdrift::gateway {
+
+using routing::Milliseconds;
+
+/// What the headers of a caller's request say.
+struct CallFacts {
+  std::string Id; ///< Unique for each send of the caller.
+  std::optional<Milliseconds> Deadline; ///< How long the caller waits.
+  std::string Key; ///< The caller's API key; empty if it sent none.
+  std::vector<routing::PromptPart> Prompt;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t OutputTokens = 0; ///< Expected.
+
+  friend bool operator==(const CallFacts &, const CallFacts &) = default;
+};
+
+/// What the gateway tells a replica beside the caller's request.
+struct ForwardFacts {
+  routing::ReplicaId Replica;
+  std::optional<Milliseconds> Deadline;
+  const std::string *Workspace = nullptr; ///< Null: no keys in force.
+  /// Where a resumed stream goes on; empty: as the caller sent it.
+  std::string ResumeAfter;
+};
+
+/// What the head of a replica's answer says.
+struct AnswerFacts {
+  std::string Id; ///< Of the request that it answers.
+  bool NotRun = false; ///< The replica did not run the request.
+  bool Signed = false; ///< Bears the replica's signature.
+
+  friend bool operator==(const AnswerFacts &, const AnswerFacts &) = default;
+};
+
+/// Translates headers of one deployment.
+class Dialect {
+public:
+  virtual ~Dialect() = default;
+
+  /// Fails with MalformedRequest if a field can't be read.
+  [[nodiscard]] virtual Result<CallFacts>
+  readCall(const net::HeaderList &Headers) const = 0;
+  /// End-to-end headers for a replica; fields that only the fleet may set are
+  /// replaced.
+  [[nodiscard]] virtual net::HeaderList
+  forward(const net::HeaderList &Received, const ForwardFacts &Facts) const = 0;
+  [[nodiscard]] virtual AnswerFacts
+  readAnswer(const net::HttpAnswerHead &Head) const = 0;
+  /// End-to-end headers of a replica's answer for the caller.
+  [[nodiscard]] virtual net::HeaderList
+  answerHeaders(const net::HeaderList &Received) const = 0;
+
+  /// The path, without a query, at which callers ask where to connect.
+  [[nodiscard]] virtual std::string_view directoryPath() const = 0;
+  /// The body of the answer, as application/json.
+  [[nodiscard]] virtual std::string
+  directoryBody(const std::vector<HostPort> &Addresses,
+                std::chrono::seconds Ttl) const = 0;
+  [[nodiscard]] virtual std::string_view readinessPath() const = 0;
+};
+
+} // namespace nutmegdrift::gateway
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -0,0 +1,116 @@
+// Messages between daemons: beats over UDP and placement over TCP, both
+// msgpack arrays. Times are relative, so clocks need not agree.
+#ifndef NUTMEGDRIFT_GATEWAY_FLEET_MESSAGES_H
+#define NUTMEGDRIFT_GATEWAY_FLEET_MESSAGES_H
+
+#include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/routing/model_dispatcher.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace nutmegdrift::gateway {
+
+using routing::Milliseconds;
+
+/// A request that crashed replicas, and which crashes it was part of.
+struct SuspectCount {
+  std::uint64_t Fingerprint = 0;
+  std::vector<std::string> Crashed; ///< Replica starts, sorted.
+
+  friend bool operator==(const SuspectCount &, const SuspectCount &) = default;
+};
+
+/// What a daemon tells all others several times a second.
+struct Beat {
+  DaemonName Daemon;
+  BootId Boot = 0;
+  HostPort Front;    ///< Where callers connect.
+  HostPort Internal; ///< Where daemons reach it, over UDP and TCP.
+  bool Ready = false;
+  bool Stopping = false;
+  double Weight = 1.0; ///< Share of a processor.
+  std::uint64_t StateVersion = 0; ///< Desired state in force; 0: none.
+  /// Age of the newest confirmation by the store that StateVersion is the
+  /// newest; negative: none.
+  Milliseconds StateAge{-1};
+  /// Newest store revision seen for each watched kind.
+  std::vector<std::uint64_t> Revisions;
+  std::vector<HostPort> Others; ///< Some other daemons, for discovery.
+  std::vector<SuspectCount> Suspects;
+
+  friend bool operator==(const Beat &, const Beat &) = default;
+};
+
+/// Asks a dispatcher for a replica.
+struct PlaceRequest {
+  std::uint64_t Sequence = 0; ///< Unique on the connection.
+  std::string Service;
+  std::string Workspace;
+  std::vector<routing::PromptPart> Prompt;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t OutputTokens = 0;
+  Milliseconds Age{0}; ///< Since the caller's request arrived.
+  Milliseconds Target{0};
+  Milliseconds GivesUpIn{0};
+  std::vector<routing::ReplicaId> Tried;
+  /// The replica that it runs at already, when told to a new dispatcher.
+  routing::ReplicaId RunsAt;
+  bool Started = false;
+
+  friend bool operator==(const PlaceRequest &, const PlaceRequest &) = default;
+};
+
+struct WithdrawRequest {
+  std::uint64_t Sequence = 0;
+  friend bool operator==(const WithdrawRequest &,
+                         const WithdrawRequest &) = default;
+};
+
+struct StartedReport {
+  std::uint64_t Sequence = 0;
+  friend bool operator==(const StartedReport &, const StartedReport &) = default;
+};
+
+struct EndedReport {
+  std::uint64_t Sequence = 0;
+  routing::ReplicaOutcome Outcome = routing::ReplicaOutcome::Served;
+  friend bool operator==(const EndedReport &, const EndedReport &) = default;
+};
+
+struct PlaceGrant {
+  std::uint64_t Sequence = 0;
+  routing::ReplicaId Where;
+  friend bool operator==(const PlaceGrant &, const PlaceGrant &) = default;
+};
+
+struct PlaceRefusal {
+  std::uint64_t Sequence = 0;
+  Milliseconds RetryAfter{0};
+  friend bool operator==(const PlaceRefusal &, const PlaceRefusal &) = default;
+};
+
+/// The dispatcher lives though it has nothing to say.
+struct DispatcherAlive {
+  friend bool operator==(const DispatcherAlive &,
+                         const DispatcherAlive &) = default;
+};
+
+using PlacementMessage =
+    std::variant<PlaceRequest, WithdrawRequest, StartedReport, EndedReport,
+                 PlaceGrant, PlaceRefusal, DispatcherAlive>;
+
+std::string encode(const Beat &Value);
+/// Nothing if the bytes are no beat of this version.
+std::optional<Beat> decodeBeat(std::string_view Bytes);
+
+/// With a length before it, for a TCP connection.
+std::string encodeFrame(const PlacementMessage &Value);
+/// Takes one message from the front of Buffer. Bad is set if the bytes are no
+/// message; the connection must then be closed.
+std::optional<PlacementMessage> takeFrame(std::string &Buffer, bool &Bad);
+
+} // namespace nutmegdrift::gateway
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -0,0 +1,43 @@
+// Counters and latency histograms of a gateway, in the Prometheus text format.
+#ifndef NUTMEGDRIFT_GATEWAY_GATEWAY_METRICS_H
+#define NUTMEGDRIFT_GATEWAY_GATEWAY_METRICS_H
+
+#include "nutmegdrift/base/error.h"
+
+#include <memory>
+#include <string>
+
+namespace nutmegdrift::gateway {
+
+/// Not thread-safe, like all of a gateway.
+class GatewayMetrics {
+public:
+  GatewayMetrics();
+  ~GatewayMetrics();
+
+  void requestStarted();
+  /// A whole answer of a replica was passed on.
+  void requestServed(int Status);
+  /// The gateway answered by itself.
+  void requestRefused(ErrorKind Kind);
+  void callerLeft();
+  void repeatSent();
+  void streamResumed();
+  void firstByte(double Seconds);
+  void placementWait(double Seconds);
+  void storeCall(bool Succeeded);
+  void beliefAge(double Seconds);
+  void connectionsOpened(double Count);
+  void linesSuppressed(double Count);
+
+  /// The text that a scrape gets.
+  [[nodiscard]] std::string text() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace nutmegdrift::gateway
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/gateway/settings.h
@@ -0,0 +1,61 @@
+// Settings of a gateway daemon, in YAML.
+#ifndef NUTMEGDRIFT_GATEWAY_SETTINGS_H
+#define NUTMEGDRIFT_GATEWAY_SETTINGS_H
+
+#include "nutmegdrift/base/error.h"
+#include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/routing/desired_state.h"
+
+namespace nutmegdrift::gateway {
+
+using routing::Milliseconds;
+
+/// Bounds that the deployment gives.
+struct GatewayBounds {
+  /// A key that was taken away must not be accepted later than this.
+  Milliseconds KeyRevocation{5000};
+  /// From a stop signal to the kill.
+  Milliseconds StopGrace{8000};
+  /// Longest time for which callers may keep a directory answer.
+  std::chrono::seconds DirectoryTtl{2};
+  /// Share of a service's requests that may be retries, over the fleet.
+  double RetryShare = 0.2;
+  std::chrono::seconds RetryWindow{10};
+  /// Retries over the fleet that are allowed beside the share.
+  unsigned RetryFloor = 0;
+  /// Multiple of a cold replica's rate that is tolerated.
+  double ColdOverage = 1.5;
+
+  friend bool operator==(const GatewayBounds &, const GatewayBounds &) = default;
+};
+
+struct GatewaySettings {
+  DaemonName Name;
+  std::string Zone;
+  HostPort Front;     ///< For callers.
+  HostPort Readiness; ///< For the platform's checks.
+  HostPort Directory; ///< For callers that ask where to connect.
+  HostPort Internal;  ///< UDP and TCP between daemons.
+  HostPort Metrics;
+  HostPort Store; ///< The platform's store.
+  /// Hosts of other daemons; some may be gone.
+  std::vector<std::string> Seeds;
+  double ProcessorShare = 1.0;
+  unsigned MemoryMegabytes = 256;
+  unsigned Descriptors = 1024;
+  GatewayBounds Bounds;
+
+  friend bool operator==(const GatewaySettings &,
+                         const GatewaySettings &) = default;
+};
+
+/// Parses settings; fails with InvalidSettings, naming the field and its line.
+/// Unknown fields are ignored.
+Result<GatewaySettings> parseGatewaySettings(const std::string &Yaml);
+
+/// Reads and parses a file.
+Result<GatewaySettings> loadGatewaySettings(const std::string &Path);
+
+} // namespace nutmegdrift::gateway
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/net/client_connection.h
@@ -0,0 +1,88 @@
+// One HTTP/1.1 connection to an endpoint or to the platform.
+#ifndef NUTMEGDRIFT_NET_CLIENT_CONNECTION_H
+#define NUTMEGDRIFT_NET_CLIENT_CONNECTION_H
+
+#include "nutmegdrift/net/byte_stream.h"
+#include "nutmegdrift/net/http_message.h"
+
+namespace nutmegdrift::net {
+
+enum class ClientFailure {
+  ConnectFailed, ///< No byte of the request was sent.
+  Reset,         ///< Lost after bytes may have been sent.
+  Closed,        ///< Ended in order before the answer was whole.
+  Malformed,     ///< The bytes are no answer.
+};
+
+/// "connect-failed", "reset", "closed" or "malformed".
+std::string_view toString(ClientFailure Failure);
+
+/// Carries one request at a time. Answers that belong to another request are
+/// read and dropped; bytes that come while no request waits end the connection.
+class ClientConnection final
+    : public ByteStream::Listener,
+      public std::enable_shared_from_this<ClientConnection> {
+public:
+  /// Callbacks of one request. OnEnd or OnFailure comes last, once.
+  struct Events {
+    /// Whether the answer belongs to this request. Empty: it does.
+    std::function<bool(const HttpAnswerHead &)> Accept{};
+    std::function<void(HttpAnswerHead)> OnHead{};
+    std::function<void(std::string_view)> OnBody{};
+    std::function<void()> OnEnd{};
+    std::function<void(ClientFailure)> OnFailure{};
+  };
+
+  ClientConnection(EventLoop &Loop, const Clock &Clk, HostPort Peer);
+  ~ClientConnection() override;
+
+  /// Sends a request, connecting first if needed. Not while busy().
+  void send(std::string Bytes, Duration ConnectTimeout, Events Callbacks,
+            bool HeadOnly = false);
+  /// Closes without further callbacks.
+  void close();
+  /// Whether a request is under way.
+  [[nodiscard]] bool busy() const { return m_busy; }
+  /// Whether another request may be sent on the open connection.
+  [[nodiscard]] bool reusable() const;
+  /// Whether the current request went onto a connection used before.
+  [[nodiscard]] bool reused() const { return m_requests > 1; }
+  [[nodiscard]] TimePoint idleSince() const { return m_idleSince; }
+  [[nodiscard]] const HostPort &peer() const { return m_peer; }
+  /// The endpoint's announced idle timeout, if any.
+  [[nodiscard]] std::optional<std::chrono::seconds> announcedIdle() const {
+    return m_announcedIdle;
+  }
+  void pauseReading();
+  void resumeReading();
+
+  void onConnected() override;
+  void onConnectFailed() override;
+  void onData(std::string_view Received) override;
+  void onEnd(StreamEnd End) override;
+
+private:
+  void startAnswer();
+  void headArrived(HttpAnswerHead Head);
+  void finish();
+  void failRequest(ClientFailure Failure);
+
+  EventLoop &m_loop;
+  const Clock &m_clock;
+  const HostPort m_peer;
+  std::shared_ptr<ByteStream> m_stream;
+  std::unique_ptr<AnswerReader> m_reader; ///< Set while busy.
+  std::string m_unread; ///< Bytes that the reader needs to see again.
+  Events m_events;
+  bool m_busy = false;
+  bool m_ours = false; ///< The answer being read belongs to the request.
+  bool m_headOnly = false;
+  bool m_keepAlive = true;
+  std::size_t m_requests = 0;
+  TimePoint m_idleSince{};
+  std::optional<std::chrono::seconds> m_announcedIdle;
+};
+
+} // namespace nutmegdrift::net
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/net/http_message.h
@@ -0,0 +1,145 @@
+// HTTP/1.1 messages as values, and incremental readers for them.
+#ifndef NUTMEGDRIFT_NET_HTTP_MESSAGE_H
+#define NUTMEGDRIFT_NET_HTTP_MESSAGE_H
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegdrift::net {
+
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+
+  friend bool operator==(const HeaderField &, const HeaderField &) = default;
+};
+
+/// Header fields in the order in which they were received.
+class HeaderList {
+public:
+  HeaderList() = default;
+  HeaderList(std::initializer_list<HeaderField> Fields) : m_fields(Fields) {}
+
+  void add(std::string Name, std::string Value);
+  /// Replaces all fields of this name by one.
+  void set(std::string_view Name, std::string Value);
+  void remove(std::string_view Name);
+  /// The first value of the field, compared without case.
+  [[nodiscard]] std::optional<std::string_view>
+  find(std::string_view Name) const;
+  [[nodiscard]] const std::vector<HeaderField> &all() const {
+    return m_fields;
+  }
+
+  friend bool operator==(const HeaderList &, const HeaderList &) = default;
+
+private:
+  std::vector<HeaderField> m_fields;
+};
+
+bool equalIgnoringCase(std::string_view A, std::string_view B);
+
+/// Whether a field concerns only one connection and must not be forwarded.
+/// ConnectionTokens is the value of the message's Connection field.
+bool isHopByHop(std::string_view Name, std::string_view ConnectionTokens);
+
+/// Copies the fields that may be forwarded.
+HeaderList endToEndFields(const HeaderList &Fields);
+
+struct HttpRequest {
+  std::string Method;
+  std::string Target; ///< Path and query as received.
+  HeaderList Headers;
+  std::string Body;
+  bool KeepAlive = true;
+};
+
+/// The head of an answer.
+struct HttpAnswerHead {
+  int Status = 0;
+  std::string Reason;
+  HeaderList Headers;
+  std::optional<std::uint64_t> ContentLength;
+  bool Chunked = false;
+};
+
+/// Bounds on what a caller may send.
+struct HttpLimits {
+  std::uint32_t MaxHeaderBytes = 16384;
+  std::uint64_t MaxBodyBytes = 4194304;
+};
+
+enum class HttpParseError { None, Malformed, HeaderTooLarge, BodyTooLarge };
+
+/// Reads one request from a connection's bytes.
+class RequestReader {
+public:
+  explicit RequestReader(HttpLimits Limits);
+  ~RequestReader();
+  RequestReader(const RequestReader &) = delete;
+  RequestReader &operator=(const RequestReader &) = delete;
+
+  /// Takes bytes from the front of Data; returns how many were used. Stops at
+  /// the end of the message.
+  std::size_t put(std::string_view Data);
+  [[nodiscard]] bool headerDone() const;
+  [[nodiscard]] bool done() const;
+  [[nodiscard]] HttpParseError error() const;
+  /// Whether the sender waits for "100 Continue".
+  [[nodiscard]] bool expectsContinue() const;
+  HttpRequest take();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+/// Reads one answer from a connection's bytes.
+class AnswerReader {
+public:
+  struct Events {
+    std::function<void(HttpAnswerHead)> OnHead;
+    std::function<void(std::string_view)> OnBody;
+  };
+
+  /// Endpoints' headers are trusted to this size.
+  static constexpr std::uint32_t MaxHeaderBytes = 32768;
+
+  /// HeadOnly: the answer to a HEAD request has no body.
+  explicit AnswerReader(Events Callbacks, bool HeadOnly = false);
+  ~AnswerReader();
+  AnswerReader(const AnswerReader &) = delete;
+  AnswerReader &operator=(const AnswerReader &) = delete;
+
+  std::size_t put(std::string_view Data);
+  /// The connection ended cleanly; completes an answer without a length.
+  void putEof();
+  [[nodiscard]] bool headerDone() const;
+  [[nodiscard]] bool done() const;
+  [[nodiscard]] bool failed() const;
+  /// Whether the connection may carry another request.
+  [[nodiscard]] bool keepAlive() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+/// The bytes of a request, with a Content-Length where a body may follow.
+std::string serialise(const HttpRequest &Request);
+
+/// The bytes of an answer's head. Framing fields are added by the caller.
+std::string serialiseHead(int Status, const HeaderList &Headers);
+
+/// The usual reason phrase of a status.
+std::string_view reasonOf(int Status);
+
+} // namespace nutmegdrift::net
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/routing/desired_state.h
@@ -0,0 +1,135 @@
+// What operators want: routes, services, workspaces and limits, as one
+// immutable version, and the lookups that requests need.
+#ifndef NUTMEGDRIFT_ROUTING_DESIRED_STATE_H
+#define NUTMEGDRIFT_ROUTING_DESIRED_STATE_H
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegdrift::routing {
+
+using Milliseconds = std::chrono::milliseconds;
+
+/// How often a request may run and how its answer comes.
+enum class RequestKind {
+  Idempotent,      ///< May run more than once.
+  RunOnce,         ///< Runs at most once.
+  Stream,          ///< Event stream that runs at most once.
+  ResumableStream, ///< Event stream that another replica may continue.
+};
+
+/// Whether the kind may run more than once.
+constexpr bool mayRepeat(RequestKind Kind) {
+  return Kind == RequestKind::Idempotent ||
+         Kind == RequestKind::ResumableStream;
+}
+
+constexpr bool isStream(RequestKind Kind) {
+  return Kind == RequestKind::Stream || Kind == RequestKind::ResumableStream;
+}
+
+/// One of the services that share a route's traffic.
+struct RouteShare {
+  std::string Service;
+  double Weight = 1.0;
+
+  friend bool operator==(const RouteShare &, const RouteShare &) = default;
+};
+
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix; ///< Begins and ends with a slash.
+  RequestKind Kind = RequestKind::RunOnce;
+  Milliseconds Timeout{0}; ///< Longest time to the end of the answer; 0: none.
+  Milliseconds FirstByteTarget{0};
+  std::vector<RouteShare> Shares; ///< Never empty.
+  unsigned MaxReplicas = 1;       ///< Replicas that one request may be sent to.
+  bool AllowAnonymous = false;
+
+  friend bool operator==(const Route &, const Route &) = default;
+};
+
+/// Figures of a service's model engines.
+struct EngineTraits {
+  unsigned Slots = 1;         ///< Requests that run at once.
+  std::uint64_t KvTokens = 0; ///< Memory for prompt and output tokens.
+
+  friend bool operator==(const EngineTraits &, const EngineTraits &) = default;
+};
+
+struct Service {
+  std::string Name;
+  std::string HealthPath;
+  unsigned ConnectionLimit = 0; ///< Per replica, over all callers; 0: unknown.
+  double ColdPerSecond = 0.0; ///< Requests a second a cold replica bears; 0:
+                              ///< no limit.
+  std::optional<EngineTraits> Engine; ///< Absent: a plain service.
+
+  friend bool operator==(const Service &, const Service &) = default;
+};
+
+/// Bounds on what callers may send.
+struct CallerLimits {
+  std::uint32_t MaxHeaderBytes = 16384;
+  std::uint64_t MaxBodyBytes = 4194304;
+  Milliseconds HeaderTimeout{3000};
+  Milliseconds IdleTimeout{15000};
+  double TokensPerSecond = 0.0; ///< Of all replicas together; 0: unknown.
+
+  friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
+struct Workspace {
+  std::string Name;
+  std::vector<std::string> Keys;
+
+  friend bool operator==(const Workspace &, const Workspace &) = default;
+};
+
+struct DesiredState {
+  std::uint64_t Version = 0;
+  std::vector<Route> Routes;
+  std::vector<Service> Services;
+  std::vector<Workspace> Workspaces; ///< Empty: requests carry no keys.
+  CallerLimits Limits;
+
+  friend bool operator==(const DesiredState &, const DesiredState &) = default;
+};
+
+/// Lookups in one version of the desired state.
+class RoutingTable {
+public:
+  explicit RoutingTable(DesiredState State);
+  RoutingTable(const RoutingTable &) = delete;
+  RoutingTable &operator=(const RoutingTable &) = delete;
+
+  [[nodiscard]] const DesiredState &state() const { return m_state; }
+  /// The route of this host with the longest prefix of the path. A port in
+  /// Host is ignored, and case too. Target may have a query.
+  [[nodiscard]] const Route *match(std::string_view Host,
+                                   std::string_view Target) const;
+  [[nodiscard]] const Service *service(std::string_view Name) const;
+  /// The workspace that holds the key.
+  [[nodiscard]] const std::string *workspaceOf(const std::string &Key) const;
+  [[nodiscard]] bool keysRequired() const { return !m_state.Workspaces.empty(); }
+  /// Picks a service of the route by weight; Draw is uniform in [0, 1).
+  [[nodiscard]] static const std::string &pickService(const Route &Where,
+                                                      double Draw);
+
+private:
+  const DesiredState m_state;
+  /// Routes of a host by falling length of the prefix.
+  std::unordered_map<std::string, std::vector<const Route *>> m_byHost;
+  std::unordered_map<std::string, const std::string *> m_workspaceByKey;
+};
+
+} // namespace nutmegdrift::routing
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -0,0 +1,125 @@
+// What a dispatcher believes of one model engine: the prompts it still has to
+// read, the requests it runs, and the prompt parts in its memory.
+#ifndef NUTMEGDRIFT_ROUTING_ENGINE_ESTIMATE_H
+#define NUTMEGDRIFT_ROUTING_ENGINE_ESTIMATE_H
+
+#include "nutmegdrift/base/clock.h"
+#include "nutmegdrift/routing/desired_state.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegdrift::routing {
+
+/// One part of a prompt; requests with the same first parts share them.
+struct PromptPart {
+  std::uint64_t Id = 0;
+  std::uint32_t Tokens = 0;
+
+  friend bool operator==(const PromptPart &, const PromptPart &) = default;
+};
+
+/// The shared parts of a prompt: all but the last, which belongs to the request
+/// or its session.
+class SharedPrefix {
+public:
+  struct Level {
+    std::uint64_t Chain = 0; ///< Hash of this part and all parts before it.
+    std::uint32_t Tokens = 0; ///< Of this part.
+
+    friend bool operator==(const Level &, const Level &) = default;
+  };
+
+  SharedPrefix() = default;
+  explicit SharedPrefix(const std::vector<PromptPart> &Prompt);
+
+  [[nodiscard]] const std::vector<Level> &levels() const { return m_levels; }
+  [[nodiscard]] std::uint32_t tokens() const { return m_tokens; }
+
+  friend bool operator==(const SharedPrefix &, const SharedPrefix &) = default;
+
+private:
+  std::vector<Level> m_levels;
+  std::uint32_t m_tokens = 0;
+};
+
+/// Number of one request, unique within a dispatcher.
+using RequestKey = std::uint64_t;
+
+/// The estimate of one engine. All times are predictions; reports of started
+/// and ended requests correct them. Not thread-safe.
+class EngineEstimate {
+public:
+  /// Prompt tokens read in a millisecond, until learned.
+  static constexpr double InitialRate = 50.0;
+  /// Bounds on what is believed of the rate.
+  static constexpr double LowestRate = 3.0;
+  static constexpr double HighestRate = 1000.0;
+  /// Prompts shorter than this say little about the rate.
+  static constexpr std::uint32_t RateSampleTokens = 1500;
+  static constexpr double RateSmoothing = 0.15;
+  /// Time from the end of the prompt to the first event, until learned.
+  static constexpr Duration InitialOverhead = std::chrono::milliseconds(40);
+  static constexpr double OverheadSmoothing = 0.05;
+
+  EngineEstimate(EngineTraits Traits, double InitialTokensPerMs);
+
+  void placed(RequestKey Key, const SharedPrefix &Prefix,
+              std::uint32_t PromptTokens, std::uint32_t OutputTokens,
+              TimePoint Now);
+  /// The request's first event came.
+  void started(RequestKey Key, TimePoint Now);
+  /// The request is no longer at the engine.
+  void ended(RequestKey Key, TimePoint Now);
+  /// The engine was restarted and remembers nothing.
+  void forgetMemory();
+
+  /// Time until the engine has read all prompts placed so far.
+  [[nodiscard]] Duration backlog(TimePoint Now) const;
+  /// How much longer than predicted the oldest waiting prompt takes.
+  [[nodiscard]] Duration overdue(TimePoint Now) const;
+  [[nodiscard]] std::uint32_t cachedTokens(const SharedPrefix &Prefix) const;
+  [[nodiscard]] Duration timeToRead(std::uint32_t Tokens) const;
+  [[nodiscard]] Duration overhead() const { return m_overhead; }
+  [[nodiscard]] double tokensPerMs() const { return m_rate; }
+  [[nodiscard]] std::size_t requests() const { return m_requests.size(); }
+  [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+  /// Tokens that the requests at the engine hold or will hold.
+  [[nodiscard]] std::uint64_t heldTokens() const { return m_heldTokens; }
+  [[nodiscard]] const EngineTraits &traits() const { return m_traits; }
+
+private:
+  struct Waiting {
+    RequestKey Key;
+    std::uint32_t Tokens; ///< Still to be read when it was placed.
+    TimePoint Placed;
+    bool Alone; ///< Nothing waited when it was placed.
+  };
+  struct Cached {
+    std::uint32_t Tokens;
+    std::list<std::uint64_t>::iterator Use;
+  };
+
+  [[nodiscard]] TimePoint headBegan() const;
+  void learn(const Waiting &Done, TimePoint Now);
+  void remember(const SharedPrefix &Prefix);
+  void evict();
+
+  const EngineTraits m_traits;
+  double m_rate;
+  Duration m_overhead = InitialOverhead;
+  std::deque<Waiting> m_waiting; ///< In the order of placing.
+  TimePoint m_lastStart{};
+  std::unordered_map<RequestKey, std::uint64_t> m_requests; ///< Tokens of each.
+  std::uint64_t m_heldTokens = 0; ///< Sum over m_requests.
+  std::unordered_map<std::uint64_t, Cached> m_cache; ///< By chain.
+  std::list<std::uint64_t> m_uses; ///< Chains, the latest used first.
+  std::uint64_t m_cachedTokens = 0; ///< Sum over m_cache.
+};
+
+} // namespace nutmegdrift::routing
+
+#endif
--- /dev/null
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -0,0 +1,158 @@
+// Decides for one model service which request goes to which replica and when,
+// and which requests are refused.
+#ifndef NUTMEGDRIFT_ROUTING_MODEL_DISPATCHER_H
+#define NUTMEGDRIFT_ROUTING_MODEL_DISPATCHER_H
+
+#include "nutmegdrift/base/random.h"
+#include "nutmegdrift/routing/engine_estimate.h"
+#include "nutmegdrift/routing/replica_table.h"
+
+#include <optional>
+#include <set>
+#include <unordered_set>
+
+namespace nutmegdrift::routing {
+
+/// A request that waits for a replica.
+struct ModelRequest {
+  RequestKey Key = 0;
+  std::string Workspace;
+  std::vector<PromptPart> Prompt;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t OutputTokens = 0; ///< Expected.
+  TimePoint Arrived{};
+  Duration FirstTokenTarget{0};
+  TimePoint GivesUp{}; ///< The caller leaves without a first token by then.
+  std::set<ReplicaId> Tried{};
+
+  friend bool operator==(const ModelRequest &, const ModelRequest &) = default;
+};
+
+/// What becomes of a request.
+struct ModelDecision {
+  RequestKey Key = 0;
+  ReplicaId Where{}; ///< Empty: refused.
+  /// Of a refusal: when a place is expected.
+  Milliseconds RetryAfter{0};
+  Duration Waited{0};
+  /// Predicted time to the first token at the time of the decision.
+  Duration Predicted{0};
+
+  friend bool operator==(const ModelDecision &, const ModelDecision &) = default;
+};
+
+struct DispatcherOptions {
+  /// Prompt work placed at a replica ahead of a request. More hides the order
+  /// of requests in the engine, which knows none; less lets it run dry between
+  /// two messages.
+  Duration TargetBacklog = std::chrono::milliseconds(60);
+  /// Weight of reading a shared part again, beside the time it takes.
+  double RereadWeight = 1.5;
+  /// Requests that can't meet their first-token target any more may wait this
+  /// much longer; the others are refused.
+  Duration LateWait = std::chrono::milliseconds(600);
+  /// Share of an engine's memory that requests may hold.
+  double MemoryShare = 0.92;
+  /// Part of the fleet's requests that this dispatcher sees. Below 1 it keeps
+  /// to that part of slots, memory and what cold replicas bear.
+  double Share = 1.0;
+  /// Least and greatest time to come back.
+  Milliseconds ShortestRetry{250};
+  Milliseconds LongestRetry{3000};
+
+  friend bool operator==(const DispatcherOptions &,
+                         const DispatcherOptions &) = default;
+};
+
+/// Queue, placement and refusal for one model service. Workspaces get equal
+/// service (start-time fair queueing over tokens); inside a workspace requests
+/// that can still meet their target go first, by the time left for it. A
+/// request goes where its first token is predicted soonest, with shared parts
+/// that are in an engine's memory counted as read. Not thread-safe, no I/O.
+class ModelDispatcher {
+public:
+  ModelDispatcher(DispatcherOptions Options, std::uint64_t Seed);
+
+  void setOptions(const DispatcherOptions &Options) { m_options = Options; }
+  /// Takes over the service's usable replicas.
+  void setReplicas(const std::vector<Replica *> &Usable, const Service &Traits,
+                   TimePoint Now);
+
+  /// Queues a request, or refuses it at once.
+  std::optional<ModelDecision> offer(ModelRequest Request, TimePoint Now);
+  /// Places what can be placed and refuses what has become hopeless.
+  std::vector<ModelDecision> pump(TimePoint Now);
+  /// The caller left while the request waited. False if it does not wait.
+  bool withdraw(RequestKey Key);
+
+  /// Accounts for a request that was placed elsewhere.
+  void adopt(const ModelRequest &Request, const ReplicaId &Where,
+             TimePoint Now);
+  void started(RequestKey Key, TimePoint Now);
+  void ended(RequestKey Key, ReplicaOutcome Outcome, TimePoint Now);
+
+  [[nodiscard]] std::size_t queued() const { return m_queued; }
+  [[nodiscard]] std::size_t running() const { return m_placedAt.size(); }
+  [[nodiscard]] const EngineEstimate *engine(const ReplicaId &Id) const;
+
+private:
+  struct Item {
+    ModelRequest Request;
+    SharedPrefix Prefix;
+    bool Returned = false; ///< Was refused before and came back in time.
+  };
+  struct Queue {
+    std::vector<Item> Items;
+    double Served = 0.0; ///< Virtual service in tokens.
+    double Tokens = 0.0; ///< Of Items.
+  };
+  struct Engine {
+    EngineEstimate Estimate;
+    ReplicaHealth Health{};
+    TimePoint ColdUntil{};
+    std::int64_t BornMillis = 0;
+    double ColdAllowance = 1.0; ///< Requests that may be sent while cold.
+    TimePoint ColdRefilled{};
+    bool Usable = true; ///< Kept for its requests when false.
+  };
+  struct Choice {
+    Engine *Where = nullptr;
+    const ReplicaId *Id = nullptr;
+    Duration Cost{0};
+    Duration FirstToken{0};
+    bool Now = false; ///< The engine takes it now.
+  };
+
+  [[nodiscard]] Choice choose(const Item &Wanted, TimePoint Now);
+  [[nodiscard]] bool takes(Engine &Each, const Item &Wanted,
+                           TimePoint Now) const;
+  void refillCold(Engine &Each, TimePoint Now) const;
+  [[nodiscard]] double tokensPerMs(TimePoint Now) const;
+  [[nodiscard]] Duration expectedWait(const Queue &Of, double Tokens,
+                                      TimePoint Now) const;
+  [[nodiscard]] Duration patience(const Item &Waiting,
+                                  const Choice &Best) const;
+  ModelDecision refuse(const Item &Refused, Duration Wait, TimePoint Now);
+  void place(const Item &Placed, const Choice &Where, TimePoint Now);
+  bool placeOne(Queue &From, bool Late, TimePoint Now,
+                std::vector<ModelDecision> &Out);
+  void refuseHopeless(TimePoint Now, std::vector<ModelDecision> &Out);
+  void removeItem(Queue &From, std::size_t Index);
+  void forgetReturns(TimePoint Now);
+
+  DispatcherOptions m_options;
+  Random m_random;
+  double m_coldPerSecond = 0.0;
+  std::map<ReplicaId, Engine> m_engines;
+  std::map<std::string, Queue> m_queues; ///< By workspace.
+  std::size_t m_queued = 0;              ///< Items in all queues.
+  double m_virtualTime = 0.0; ///< Served of the queue placed from last.
+  std::unordered_map<RequestKey, ReplicaId> m_placedAt;
+  /// Refused requests by their own prompt part, and until when they count as
+  /// returning.
+  std::unordered_map<std::uint64_t, TimePoint> m_toldToReturn;
+};
+
+} // namespace nutmegdrift::routing
+
+#endif
--- a/src/nutmegdrift/base/clock.cpp
+++ b/src/nutmegdrift/base/clock.cpp
@@ -1,5 +1,8 @@
+// System and manual clocks.
 #include "nutmegdrift/base/clock.h"
 
+#include <ctime>
+
 namespace nutmegdrift {
 
 TimePoint SystemClock::now() const { return std::chrono::steady_clock::now(); }
@@ -8,6 +11,17 @@
   return std::chrono::system_clock::now();
 }
 
+TimePoint SuspendAwareClock::now() const {
+  timespec Now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Now);
+  return TimePoint(std::chrono::seconds(Now.tv_sec) +
+                   std::chrono::nanoseconds(Now.tv_nsec));
+}
+
+WallTime SuspendAwareClock::wallNow() const {
+  return std::chrono::system_clock::now();
+}
+
 TimePoint ManualClock::now() const {
   const std::scoped_lock Lock(m_mutex);
   return TimePoint(m_elapsed);
--- /dev/null
+++ b/src/nutmegdrift/base/decision_log.cpp
@@ -0,0 +1,110 @@
+// Token buckets by class, and the non-blocking sink.
+#include "nutmegdrift/base/decision_log.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace nutmegdrift {
+
+namespace {
+
+/// Seconds of the rate that may be written in a burst.
+constexpr double BurstSeconds = 2.0;
+
+std::string quotedValue(std::string_view Value) {
+  if (!Value.empty() &&
+      Value.find_first_of(" \"=\n\r\\") == std::string_view::npos)
+    return std::string(Value);
+  std::string Out = "\"";
+  for (const char C : Value) {
+    if (C == '"' || C == '\\')
+      Out += '\\';
+    Out += C == '\n' || C == '\r' ? ' ' : C;
+  }
+  return Out + "\"";
+}
+
+} // namespace
+
+DecisionLog::DecisionLog(const Clock &Clk, std::string Process,
+                         LogBudget Budget, Sink Write)
+    : m_clock(Clk), m_process(std::move(Process)), m_write(std::move(Write)) {
+  const std::pair<LogClass, double> Rates[] = {
+      {LogClass::Request, Budget.RequestLines},
+      {LogClass::Belief, Budget.BeliefLines},
+      {LogClass::Fault, Budget.FaultLines}};
+  for (const auto &[Class, Rate] : Rates)
+    m_buckets[Class] = {.PerSecond = Rate,
+                        .Tokens = Rate * BurstSeconds,
+                        .Refilled = Clk.now()};
+}
+
+bool DecisionLog::take(Bucket &From) {
+  const TimePoint Now = m_clock.now();
+  const double Elapsed =
+      std::chrono::duration<double>(Now - From.Refilled).count();
+  From.Refilled = Now;
+  From.Tokens = std::min(From.Tokens + Elapsed * From.PerSecond,
+                         From.PerSecond * BurstSeconds);
+  if (From.Tokens < 1.0)
+    return false;
+  From.Tokens -= 1.0;
+  return true;
+}
+
+void DecisionLog::line(LogClass Class, std::string_view Event,
+                       std::initializer_list<Field> Fields) {
+  Bucket &Of = m_buckets[Class];
+  if (!take(Of)) {
+    ++Of.LeftOut;
+    ++m_suppressed;
+    return;
+  }
+  const auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(
+                          m_clock.wallNow().time_since_epoch())
+                          .count();
+  std::string Line = "time_us=" + std::to_string(Micros) +
+                     " process=" + m_process + " event=" + std::string(Event);
+  for (const Field &Each : Fields) {
+    Line += ' ';
+    Line += Each.Key;
+    Line += '=';
+    Line += quotedValue(Each.Value);
+  }
+  if (Of.LeftOut > 0)
+    Line += " left_out=" + std::to_string(Of.LeftOut);
+  Line += '\n';
+  if (m_write(Line)) {
+    Of.LeftOut = 0;
+    return;
+  }
+  ++Of.LeftOut;
+  ++m_suppressed;
+}
+
+DecisionLog::Sink nonBlockingSink(int Descriptor) {
+  const int Flags = ::fcntl(Descriptor, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
+  // The rest of a line that was only written in part goes first.
+  auto Rest = std::make_shared<std::string>();
+  return [Descriptor, Rest](std::string_view Line) {
+    if (!Rest->empty()) {
+      const ssize_t Sent = ::write(Descriptor, Rest->data(), Rest->size());
+      if (Sent > 0)
+        Rest->erase(0, static_cast<std::size_t>(Sent));
+      if (!Rest->empty())
+        return false;
+    }
+    const ssize_t Sent = ::write(Descriptor, Line.data(), Line.size());
+    if (Sent < 0)
+      return false;
+    Rest->assign(Line.substr(static_cast<std::size_t>(Sent)));
+    return true;
+  };
+}
+
+} // namespace nutmegdrift
--- a/src/nutmegdrift/base/error.cpp
+++ b/src/nutmegdrift/base/error.cpp
@@ -23,6 +23,7 @@
     {BodyTooLarge, "body-too-large", 413, NotRun, Never},
     {HeaderTooLarge, "header-too-large", 431, NotRun, Never},
     {UnknownWorkspace, "unknown-workspace", 403, NotRun, Never},
+    {UnknownKey, "unknown-key", 401, NotRun, Never},
     {UnknownTarget, "unknown-target", 404, NotRun, Never},
     {AccessDenied, "access-denied", 403, NotRun, Never},
     {DeadlinePassed, "deadline-passed", 504, NotRun, Never},
--- /dev/null
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -0,0 +1,209 @@
+// Msgpack forms of the messages between daemons.
+#include "nutmegdrift/gateway/fleet_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace nutmegdrift::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+/// Changes with the form of any message.
+constexpr int FormatVersion = 1;
+/// Larger frames are no messages of ours.
+constexpr std::size_t MaxFrameBytes = std::size_t{1} << 20U;
+constexpr std::size_t LengthBytes = 4;
+
+json toJson(const HostPort &Address) {
+  return json::array({Address.Host, Address.Port});
+}
+
+HostPort hostPort(const json &Value) {
+  return {.Host = Value.at(0).get<std::string>(),
+          .Port = Value.at(1).get<std::uint16_t>()};
+}
+
+json toJson(const std::vector<routing::PromptPart> &Prompt) {
+  json Out = json::array();
+  for (const routing::PromptPart &Part : Prompt) {
+    Out.push_back(Part.Id);
+    Out.push_back(Part.Tokens);
+  }
+  return Out;
+}
+
+std::vector<routing::PromptPart> promptParts(const json &Value) {
+  std::vector<routing::PromptPart> Out;
+  for (std::size_t I = 0; I + 1 < Value.size(); I += 2)
+    Out.push_back({.Id = Value[I].get<std::uint64_t>(),
+                   .Tokens = Value[I + 1].get<std::uint32_t>()});
+  return Out;
+}
+
+struct MessageEncoder {
+  json operator()(const PlaceRequest &M) const {
+    json Out = json::array();
+    Out = {0,
+           M.Sequence,
+           M.Service,
+           M.Workspace,
+           toJson(M.Prompt),
+           M.PromptTokens,
+           M.OutputTokens,
+           M.Age.count(),
+           M.Target.count(),
+           M.GivesUpIn.count(),
+           M.Tried,
+           M.RunsAt,
+           M.Started};
+    return Out;
+  }
+  json operator()(const WithdrawRequest &M) const {
+    return json::array({1, M.Sequence});
+  }
+  json operator()(const StartedReport &M) const {
+    return json::array({2, M.Sequence});
+  }
+  json operator()(const EndedReport &M) const {
+    return json::array({3, M.Sequence, static_cast<int>(M.Outcome)});
+  }
+  json operator()(const PlaceGrant &M) const {
+    return json::array({4, M.Sequence, M.Where});
+  }
+  json operator()(const PlaceRefusal &M) const {
+    return json::array({5, M.Sequence, M.RetryAfter.count()});
+  }
+  json operator()(const DispatcherAlive &) const { return json::array({6}); }
+};
+
+PlaceRequest placeRequest(const json &V) {
+  return {.Sequence = V.at(1).get<std::uint64_t>(),
+          .Service = V.at(2).get<std::string>(),
+          .Workspace = V.at(3).get<std::string>(),
+          .Prompt = promptParts(V.at(4)),
+          .PromptTokens = V.at(5).get<std::uint32_t>(),
+          .OutputTokens = V.at(6).get<std::uint32_t>(),
+          .Age = Milliseconds(V.at(7).get<std::int64_t>()),
+          .Target = Milliseconds(V.at(8).get<std::int64_t>()),
+          .GivesUpIn = Milliseconds(V.at(9).get<std::int64_t>()),
+          .Tried = V.at(10).get<std::vector<std::string>>(),
+          .RunsAt = V.at(11).get<std::string>(),
+          .Started = V.at(12).get<bool>()};
+}
+
+PlacementMessage messageOf(const json &V) {
+  switch (V.at(0).get<int>()) {
+  case 0:
+    return placeRequest(V);
+  case 1:
+    return WithdrawRequest{.Sequence = V.at(1).get<std::uint64_t>()};
+  case 2:
+    return StartedReport{.Sequence = V.at(1).get<std::uint64_t>()};
+  case 3: {
+    const int Outcome = V.at(2).get<int>();
+    if (Outcome < 0 ||
+        Outcome > static_cast<int>(routing::ReplicaOutcome::Abandoned))
+      throw std::out_of_range("outcome");
+    return EndedReport{.Sequence = V.at(1).get<std::uint64_t>(),
+                       .Outcome = static_cast<routing::ReplicaOutcome>(Outcome)};
+  }
+  case 4:
+    return PlaceGrant{.Sequence = V.at(1).get<std::uint64_t>(),
+                      .Where = V.at(2).get<std::string>()};
+  case 5:
+    return PlaceRefusal{.Sequence = V.at(1).get<std::uint64_t>(),
+                        .RetryAfter =
+                            Milliseconds(V.at(2).get<std::int64_t>())};
+  case 6:
+    return DispatcherAlive{};
+  default:
+    throw std::out_of_range("type");
+  }
+}
+
+std::string bytesOf(const json &Value) {
+  std::string Out;
+  json::to_msgpack(Value, nlohmann::detail::output_adapter<char>(Out));
+  return Out;
+}
+
+} // namespace
+
+std::string encode(const Beat &B) {
+  json Others = json::array();
+  for (const HostPort &Each : B.Others)
+    Others.push_back(toJson(Each));
+  json Suspects = json::array();
+  for (const SuspectCount &Each : B.Suspects)
+    Suspects.push_back(json::array({Each.Fingerprint, Each.Crashed}));
+  json Out = json::array();
+  Out = {FormatVersion, B.Daemon,      B.Boot,
+         toJson(B.Front), toJson(B.Internal), B.Ready,
+         B.Stopping,    B.Weight,      B.StateVersion,
+         B.StateAge.count(), B.Revisions, std::move(Others),
+         std::move(Suspects)};
+  return bytesOf(Out);
+}
+
+std::optional<Beat> decodeBeat(std::string_view Bytes) {
+  try {
+    const json V = json::from_msgpack(Bytes.begin(), Bytes.end());
+    if (V.at(0).get<int>() != FormatVersion)
+      return std::nullopt;
+    Beat B{.Daemon = V.at(1).get<std::string>(),
+           .Boot = V.at(2).get<std::uint64_t>(),
+           .Front = hostPort(V.at(3)),
+           .Internal = hostPort(V.at(4)),
+           .Ready = V.at(5).get<bool>(),
+           .Stopping = V.at(6).get<bool>(),
+           .Weight = V.at(7).get<double>(),
+           .StateVersion = V.at(8).get<std::uint64_t>(),
+           .StateAge = Milliseconds(V.at(9).get<std::int64_t>()),
+           .Revisions = V.at(10).get<std::vector<std::uint64_t>>()};
+    for (const json &Each : V.at(11))
+      B.Others.push_back(hostPort(Each));
+    for (const json &Each : V.at(12))
+      B.Suspects.push_back(
+          {.Fingerprint = Each.at(0).get<std::uint64_t>(),
+           .Crashed = Each.at(1).get<std::vector<std::string>>()});
+    return B;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string encodeFrame(const PlacementMessage &Value) {
+  const std::string Body = bytesOf(std::visit(MessageEncoder{}, Value));
+  std::string Frame(LengthBytes, '\0');
+  for (std::size_t I = 0; I < LengthBytes; ++I)
+    Frame[I] =
+        static_cast<char>((Body.size() >> (8 * (LengthBytes - 1 - I))) & 0xFFU);
+  return Frame + Body;
+}
+
+std::optional<PlacementMessage> takeFrame(std::string &Buffer, bool &Bad) {
+  if (Buffer.size() < LengthBytes)
+    return std::nullopt;
+  std::size_t Length = 0;
+  for (std::size_t I = 0; I < LengthBytes; ++I)
+    Length = (Length << 8U) | static_cast<unsigned char>(Buffer[I]);
+  if (Length > MaxFrameBytes) {
+    Bad = true;
+    return std::nullopt;
+  }
+  if (Buffer.size() < LengthBytes + Length)
+    return std::nullopt;
+  try {
+    const auto Begin = Buffer.begin() + LengthBytes;
+    const auto End = Begin + static_cast<std::ptrdiff_t>(Length);
+    auto Message = messageOf(json::from_msgpack(Begin, End));
+    Buffer.erase(Buffer.begin(), End);
+    return Message;
+  } catch (const std::exception &) {
+    Bad = true;
+    return std::nullopt;
+  }
+}
+
+} // namespace nutmegdrift::gateway
--- /dev/null
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -0,0 +1,317 @@
+// Listeners, beats and the course of a stop.
+#include "nutmegdrift/gateway/gateway.h"
+
+#include <algorithm>
+
+namespace nutmegdrift::gateway {
+
+namespace {
+
+/// Addresses in one directory answer; callers read no more.
+constexpr std::size_t MaxDirectoryAddresses = 64;
+/// Time before the kill at which a stopping daemon gives up on what is left.
+constexpr Duration StopMargin = std::chrono::milliseconds(500);
+/// Part of the time callers keep a directory answer, after which a stopping
+/// daemon closes resting connections.
+constexpr Duration CloseIdleAfter = std::chrono::milliseconds(2500);
+constexpr Duration SweepInterval = std::chrono::milliseconds(500);
+/// Weight of a live daemon that can't be reached is not known; at least this.
+constexpr double LeastWeight = 0.01;
+
+net::HttpServerOptions serverOptions(const routing::CallerLimits &Limits) {
+  return {.Limits = {.MaxHeaderBytes = Limits.MaxHeaderBytes,
+                     .MaxBodyBytes = Limits.MaxBodyBytes},
+          .HeaderTimeout = Limits.HeaderTimeout,
+          .IdleTimeout = Limits.IdleTimeout};
+}
+
+} // namespace
+
+Gateway::Gateway(net::EventLoop &Loop, const Clock &Clk, DecisionLog &Log,
+                 GatewaySettings Settings, const Dialect &Headers, Hooks Calls)
+    : m_loop(Loop), m_clock(Clk), m_log(Log), m_settings(std::move(Settings)),
+      m_headers(Headers), m_hooks(std::move(Calls)),
+      m_boot(hashText(m_settings.Name,
+                      static_cast<std::uint64_t>(
+                          Clk.wallNow().time_since_epoch().count()))),
+      m_random(m_boot), m_pool(Loop, Clk),
+      m_beacon(Loop, Clk, Log, m_settings.Internal,
+               {.Compose = [this] { return composeBeat(); },
+                .OnBeat = [this](const Beat &From) { heard(From); }}),
+      m_placement({.Loop = Loop,
+                   .Clk = Clk,
+                   .Log = Log,
+                   .Self = m_settings.Name,
+                   .Internal = m_settings.Internal,
+                   .Candidates = [this] { return candidates(); },
+                   .AddressOf =
+                       [this](const DaemonName &Daemon) {
+                         return addressOf(Daemon);
+                       },
+                   .Seed = m_boot}),
+      m_calls{.Loop = Loop,
+              .Clk = Clk,
+              .Log = Log,
+              .Settings = m_settings,
+              .Headers = Headers,
+              .State = m_state,
+              .Pool = m_pool,
+              .Models = m_placement,
+              .Crashes = m_crashes,
+              .Metrics = m_metrics,
+              .Rng = m_random,
+              .Budgets = m_budgets,
+              .Daemons = [this] { return daemons(); }},
+      m_front(Loop, Clk,
+              [this](std::shared_ptr<net::ServerExchange> Exchange) {
+                onRequest(Exchange);
+              }),
+      m_readiness(Loop, Clk,
+                  [this](std::shared_ptr<net::ServerExchange> Exchange) {
+                    onReadiness(*Exchange);
+                  }),
+      m_directory(Loop, Clk,
+                  [this](std::shared_ptr<net::ServerExchange> Exchange) {
+                    onDirectory(*Exchange);
+                  }),
+      m_metricsServer(Loop, Clk,
+                      [this](std::shared_ptr<net::ServerExchange> Exchange) {
+                        onMetrics(*Exchange);
+                      }),
+      m_tickTimer(Loop) {}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::start() {
+  const std::pair<net::HttpServer *, const HostPort *> Listeners[] = {
+      {&m_front, &m_settings.Front},
+      {&m_readiness, &m_settings.Readiness},
+      {&m_directory, &m_settings.Directory},
+      {&m_metricsServer, &m_settings.Metrics}};
+  for (const auto &[Server, Address] : Listeners)
+    if (!Server->listen(*Address))
+      return fail(ErrorKind::InvalidSettings,
+                  "can't listen on " + toString(*Address));
+  m_beacon.setSeeds(m_settings.Seeds);
+  if (!m_beacon.start() || !m_placement.start())
+    return fail(ErrorKind::InvalidSettings,
+                "can't use " + toString(m_settings.Internal));
+  m_log.line(LogClass::Belief, "daemon.started",
+             {{"front", toString(m_settings.Front)},
+              {"zone", m_settings.Zone},
+              {"seeds", std::to_string(m_settings.Seeds.size())}});
+  tick();
+  return {};
+}
+
+void Gateway::reload(const GatewaySettings &Settings) {
+  m_settings.Bounds = Settings.Bounds;
+  m_settings.Seeds = Settings.Seeds;
+  m_beacon.setSeeds(m_settings.Seeds);
+  m_log.line(LogClass::Belief, "settings.reloaded",
+             {{"seeds", std::to_string(Settings.Seeds.size())}});
+}
+
+bool Gateway::ready() const {
+  return m_state.Table != nullptr && !m_state.Stopping;
+}
+
+std::size_t Gateway::daemons() {
+  return m_beacon.view().aliveCount(m_clock.now()) + 1;
+}
+
+std::size_t Gateway::confirmRank() {
+  const std::vector<DispatcherCandidate> All = candidates();
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](const auto &Each) {
+        return Each.Name < m_settings.Name;
+      }));
+}
+
+void Gateway::onRequest(const std::shared_ptr<net::ServerExchange> &Exchange) {
+  std::make_shared<Call>(m_calls, Exchange)->start();
+}
+
+void Gateway::onReadiness(net::ServerExchange &Exchange) {
+  const std::string_view Target = Exchange.request().Target;
+  if (Target.substr(0, Target.find('?')) != m_headers.readinessPath()) {
+    Exchange.answer(404, {}, "");
+    return;
+  }
+  Exchange.answer(ready() ? 200 : 503, {{"Content-Type", "text/plain"}},
+                  ready() ? "ready\n" : "not ready\n");
+}
+
+void Gateway::onMetrics(net::ServerExchange &Exchange) {
+  if (const auto Age = m_state.Freshness.age(m_clock.now()))
+    m_metrics.beliefAge(std::chrono::duration<double>(*Age).count());
+  m_metrics.connectionsOpened(static_cast<double>(m_pool.opened()));
+  m_metrics.linesSuppressed(static_cast<double>(m_log.suppressed()));
+  Exchange.answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                  m_metrics.text());
+}
+
+std::vector<HostPort> Gateway::directoryAddresses() {
+  std::vector<HostPort> Ready;
+  std::vector<HostPort> Alive;
+  const TimePoint Now = m_clock.now();
+  for (const auto &[Name, Each] : m_beacon.view().members()) {
+    if (!m_beacon.view().alive(Each, Now) || Each.Last.Stopping)
+      continue;
+    Alive.push_back(Each.Last.Front);
+    if (Each.Last.Ready)
+      Ready.push_back(Each.Last.Front);
+  }
+  if (!m_state.Stopping) {
+    Alive.push_back(m_settings.Front);
+    if (composeBeat().Ready)
+      Ready.push_back(m_settings.Front);
+  }
+  std::vector<HostPort> &Named = Ready.empty() ? Alive : Ready;
+  std::shuffle(Named.begin(), Named.end(), m_random);
+  if (Named.size() > MaxDirectoryAddresses)
+    Named.resize(MaxDirectoryAddresses);
+  return Named;
+}
+
+void Gateway::onDirectory(net::ServerExchange &Exchange) {
+  const std::string_view Target = Exchange.request().Target;
+  if (Target.substr(0, Target.find('?')) != m_headers.directoryPath()) {
+    Exchange.answer(404, {}, "");
+    return;
+  }
+  const std::vector<HostPort> Addresses = directoryAddresses();
+  if (Addresses.empty()) {
+    Exchange.answer(503, {{"Retry-After", "1"}}, "");
+    return;
+  }
+  Exchange.answer(
+      200, {{"Content-Type", "application/json"}},
+      m_headers.directoryBody(Addresses, m_settings.Bounds.DirectoryTtl));
+}
+
+Beat Gateway::composeBeat() {
+  const TimePoint Now = m_clock.now();
+  const auto Age = m_state.Freshness.age(Now);
+  const auto KeyBound = std::chrono::duration_cast<Duration>(
+      m_settings.Bounds.KeyRevocation * Call::KeyTrust);
+  const bool KeysWork = m_state.Table && (!m_state.Table->keysRequired() ||
+                                          (Age && *Age < KeyBound));
+  return {.Daemon = m_settings.Name,
+          .Boot = m_boot,
+          .Front = m_settings.Front,
+          .Internal = m_settings.Internal,
+          .Ready = ready() && KeysWork,
+          .Stopping = m_state.Stopping,
+          .Weight = m_settings.ProcessorShare,
+          .StateVersion = m_state.Table ? m_state.Table->state().Version : 0,
+          .StateAge = Age ? std::chrono::duration_cast<Milliseconds>(*Age) +
+                                Milliseconds(1)
+                          : Milliseconds(-1),
+          .Revisions = m_hooks.SeenRevisions ? m_hooks.SeenRevisions()
+                                             : Revisions{},
+          .Suspects = m_crashes.told(Now)};
+}
+
+void Gateway::heard(const Beat &From) {
+  const TimePoint Now = m_clock.now();
+  for (const SuspectCount &Each : From.Suspects)
+    m_crashes.merge(Each, Now);
+  if (m_state.Table && From.StateAge.count() >= 0 &&
+      From.StateVersion == m_state.Table->state().Version)
+    m_state.Freshness.confirmedByPeer(From.StateAge, Now);
+  if (m_hooks.OnBeat)
+    m_hooks.OnBeat(From);
+}
+
+std::vector<DispatcherCandidate> Gateway::candidates() {
+  std::vector<DispatcherCandidate> Out;
+  const TimePoint Now = m_clock.now();
+  if (!m_state.Stopping)
+    Out.push_back({.Name = m_settings.Name,
+                   .Weight = std::max(m_settings.ProcessorShare, LeastWeight)});
+  for (const auto &[Name, Each] : m_beacon.view().members())
+    if (m_beacon.view().alive(Each, Now) && Each.Last.Ready &&
+        !Each.Last.Stopping)
+      Out.push_back({.Name = Name,
+                     .Weight = std::max(Each.Last.Weight, LeastWeight)});
+  return Out;
+}
+
+std::optional<HostPort> Gateway::addressOf(const DaemonName &Daemon) {
+  const auto &Members = m_beacon.view().members();
+  const auto Found = Members.find(Daemon);
+  if (Found == Members.end())
+    return std::nullopt;
+  return Found->second.Last.Internal;
+}
+
+void Gateway::setDesiredState(routing::DesiredState State) {
+  if (m_state.Table && State.Version <= m_state.Table->state().Version)
+    return;
+  m_log.line(LogClass::Belief, "state.applied",
+             {{"version", std::to_string(State.Version)},
+              {"routes", std::to_string(State.Routes.size())},
+              {"workspaces", std::to_string(State.Workspaces.size())}});
+  m_state.Table =
+      std::make_shared<const routing::RoutingTable>(std::move(State));
+  applyLimits();
+  replicasChanged();
+  m_beacon.sendNow();
+}
+
+void Gateway::applyLimits() {
+  m_front.setOptions(serverOptions(m_state.Table->state().Limits));
+}
+
+void Gateway::replicasChanged() {
+  if (!m_state.Table)
+    return;
+  for (const routing::Service &Each : m_state.Table->state().Services)
+    if (Each.Engine)
+      m_placement.setReplicas(Each, m_state.Replicas.usable(Each.Name));
+}
+
+void Gateway::tick() {
+  const TimePoint Now = m_clock.now();
+  if (m_state.Freshness.tick(Now))
+    m_log.line(LogClass::Fault, "daemon.stalled", {});
+  if (Now - m_lastSweep >= SweepInterval) {
+    m_lastSweep = Now;
+    const auto Gone = m_state.Replicas.expire(Now);
+    for (const routing::ReplicaId &Id : Gone)
+      m_log.line(LogClass::Belief, "replica.gone", {{"replica", Id}});
+    if (!Gone.empty())
+      replicasChanged();
+    m_pool.sweep(m_state.Replicas);
+  }
+  if (m_state.Stopping)
+    checkStopped();
+  m_tickTimer.callAfter(StateFreshness::TickInterval, [this] { tick(); });
+}
+
+void Gateway::stop() {
+  if (m_state.Stopping)
+    return;
+  m_state.Stopping = true;
+  m_calls.StoppingSince = m_clock.now();
+  m_front.startDraining();
+  m_beacon.sendNow();
+  m_log.line(LogClass::Belief, "daemon.stopping",
+             {{"requests", std::to_string(m_front.activeRequests())}});
+}
+
+void Gateway::checkStopped() {
+  const Duration Since = m_clock.now() - m_calls.StoppingSince;
+  const bool Idle = m_front.activeRequests() == 0;
+  if (Since > CloseIdleAfter)
+    m_front.closeIdle();
+  const bool Done = Since > CloseIdleAfter && Idle;
+  if (!Done && Since < m_settings.Bounds.StopGrace - StopMargin)
+    return;
+  m_log.line(LogClass::Belief, "daemon.stopped",
+             {{"cut", std::to_string(m_front.activeRequests())}});
+  m_hooks.OnStopped();
+}
+
+} // namespace nutmegdrift::gateway
--- /dev/null
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -0,0 +1,209 @@
+// Non-blocking reads and writes on top of readiness notifications.
+#include "nutmegdrift/net/byte_stream.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <array>
+
+namespace nutmegdrift::net {
+
+namespace {
+
+/// Bytes taken from a socket by one read.
+constexpr std::size_t ReadBytes = std::size_t{32} * 1024;
+/// Reads of one stream before other streams get their turn.
+constexpr int ReadsInARow = 4;
+
+std::array<char, ReadBytes> &readBuffer() {
+  thread_local std::array<char, ReadBytes> Buffer;
+  return Buffer;
+}
+
+} // namespace
+
+ByteStream::ByteStream(EventLoop &Loop, Listener &Owner)
+    : m_socket(Loop), m_connectTimer(Loop), m_listener(&Owner) {}
+
+ByteStream::ByteStream(TcpSocket Socket, Listener &Owner)
+    : m_socket(std::move(Socket)),
+      m_connectTimer(
+          static_cast<EventLoop &>(m_socket.get_executor().context())),
+      m_listener(&Owner), m_connected(true) {
+  boost::system::error_code Ignored;
+  m_socket.non_blocking(true, Ignored);
+  tuneSocket(m_socket);
+}
+
+void ByteStream::connect(const HostPort &To, Duration Timeout) {
+  auto Self = shared_from_this();
+  const auto Endpoint = tcpEndpoint(To);
+  if (!Endpoint) {
+    boost::asio::post(m_socket.get_executor(), [Self] {
+      if (Self->m_listener)
+        Self->m_listener->onConnectFailed();
+    });
+    return;
+  }
+  m_connectTimer.callAfter(Timeout, [Self] {
+    if (!Self->m_listener || Self->m_connected)
+      return;
+    boost::system::error_code Ignored;
+    Self->m_socket.close(Ignored);
+    Self->m_listener->onConnectFailed();
+  });
+  m_socket.async_connect(
+      *Endpoint, [Self](const boost::system::error_code &Failed) {
+        // After the timeout the socket is closed and the listener knows.
+        if (!Self->m_listener || !Self->m_connectTimer.armed())
+          return;
+        Self->m_connectTimer.cancel();
+        if (Failed) {
+          Self->m_listener->onConnectFailed();
+          return;
+        }
+        boost::system::error_code Ignored;
+        Self->m_socket.non_blocking(true, Ignored);
+        tuneSocket(Self->m_socket);
+        Self->m_connected = true;
+        Self->m_listener->onConnected();
+        Self->startReading();
+        if (!Self->m_out.empty())
+          Self->flush();
+      });
+}
+
+void ByteStream::startReading() {
+  if (open() && !m_waitingReadable && !m_paused)
+    waitReadable();
+}
+
+void ByteStream::resumeReading() {
+  m_paused = false;
+  startReading();
+}
+
+void ByteStream::waitReadable() {
+  m_waitingReadable = true;
+  m_socket.async_wait(TcpSocket::wait_read,
+                      [Self = shared_from_this()](
+                          const boost::system::error_code &Failed) {
+                        Self->m_waitingReadable = false;
+                        if (!Self->m_listener)
+                          return;
+                        if (Failed)
+                          Self->end(StreamEnd::Reset);
+                        else
+                          Self->readAvailable();
+                      });
+}
+
+void ByteStream::readAvailable() {
+  auto Self = shared_from_this();
+  auto &Buffer = readBuffer();
+  for (int Read = 0; Read < ReadsInARow && open() && !m_paused; ++Read) {
+    boost::system::error_code Failed;
+    const std::size_t Got =
+        m_socket.read_some(boost::asio::buffer(Buffer), Failed);
+    if (Failed == boost::asio::error::would_block ||
+        Failed == boost::asio::error::try_again)
+      break;
+    if (Failed) {
+      end(Failed == boost::asio::error::eof ? StreamEnd::Closed
+                                            : StreamEnd::Reset);
+      return;
+    }
+    m_listener->onData({Buffer.data(), Got});
+    if (Got < Buffer.size())
+      break;
+  }
+  startReading();
+}
+
+void ByteStream::write(std::string_view Bytes) {
+  if (!m_listener)
+    return;
+  const bool WasEmpty = m_out.empty();
+  m_out.append(Bytes);
+  if (m_connected && WasEmpty)
+    flush();
+}
+
+void ByteStream::flush() {
+  auto Self = shared_from_this();
+  std::size_t Sent = 0;
+  while (Sent < m_out.size()) {
+    boost::system::error_code Failed;
+    const std::size_t Now = m_socket.write_some(
+        boost::asio::buffer(m_out.data() + Sent, m_out.size() - Sent), Failed);
+    if (Failed == boost::asio::error::would_block ||
+        Failed == boost::asio::error::try_again)
+      break;
+    if (Failed) {
+      // The reading side reports the loss, after what can still be read.
+      m_out.clear();
+      m_finishing = false;
+      return;
+    }
+    Sent += Now;
+  }
+  m_out.erase(0, Sent);
+  if (!m_out.empty()) {
+    waitWritable();
+    return;
+  }
+  std::string().swap(m_out);
+  shutdownWhenFlushed();
+}
+
+void ByteStream::waitWritable() {
+  if (m_waitingWritable)
+    return;
+  m_waitingWritable = true;
+  m_socket.async_wait(TcpSocket::wait_write,
+                      [Self = shared_from_this()](
+                          const boost::system::error_code &Failed) {
+                        Self->m_waitingWritable = false;
+                        if (!Self->m_listener || Failed)
+                          return;
+                        Self->flush();
+                        if (Self->m_listener && Self->m_out.empty())
+                          Self->m_listener->onDrained();
+                      });
+}
+
+void ByteStream::finishWriting() {
+  m_finishing = true;
+  if (m_out.empty())
+    shutdownWhenFlushed();
+}
+
+void ByteStream::shutdownWhenFlushed() {
+  if (!m_finishing || !m_connected)
+    return;
+  m_finishing = false;
+  boost::system::error_code Ignored;
+  m_socket.shutdown(TcpSocket::shutdown_send, Ignored);
+}
+
+void ByteStream::end(StreamEnd How) {
+  Listener *Owner = m_listener;
+  close();
+  if (Owner)
+    Owner->onEnd(How);
+}
+
+void ByteStream::close() {
+  m_listener = nullptr;
+  m_connectTimer.cancel();
+  boost::system::error_code Ignored;
+  m_socket.close(Ignored);
+}
+
+void ByteStream::reset() {
+  boost::system::error_code Ignored;
+  if (m_socket.is_open())
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
+} // namespace nutmegdrift::net
--- /dev/null
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -0,0 +1,197 @@
+// Requests and answers on one connection.
+#include "nutmegdrift/net/client_connection.h"
+
+#include <charconv>
+
+namespace nutmegdrift::net {
+
+namespace {
+
+/// The timeout of a Keep-Alive field, "timeout=5, max=100".
+std::optional<std::chrono::seconds> keepAliveTimeout(const HeaderList &Fields) {
+  const auto Value = Fields.find("Keep-Alive");
+  if (!Value)
+    return std::nullopt;
+  constexpr std::string_view Key = "timeout=";
+  const std::size_t At = Value->find(Key);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  unsigned Seconds = 0;
+  const char *Begin = Value->data() + At + Key.size();
+  if (std::from_chars(Begin, Value->data() + Value->size(), Seconds).ec !=
+      std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+} // namespace
+
+std::string_view toString(ClientFailure Failure) {
+  switch (Failure) {
+  case ClientFailure::ConnectFailed:
+    return "connect-failed";
+  case ClientFailure::Reset:
+    return "reset";
+  case ClientFailure::Closed:
+    return "closed";
+  case ClientFailure::Malformed:
+    return "malformed";
+  }
+  return "unknown";
+}
+
+ClientConnection::ClientConnection(EventLoop &Loop, const Clock &Clk,
+                                   HostPort Peer)
+    : m_loop(Loop), m_clock(Clk), m_peer(std::move(Peer)) {}
+
+ClientConnection::~ClientConnection() { close(); }
+
+void ClientConnection::send(std::string Bytes, Duration ConnectTimeout,
+                            Events Callbacks, bool HeadOnly) {
+  m_events = std::move(Callbacks);
+  m_busy = true;
+  m_headOnly = HeadOnly;
+  ++m_requests;
+  startAnswer();
+  if (!m_stream) {
+    m_stream = std::make_shared<ByteStream>(m_loop, *this);
+    m_stream->write(Bytes);
+    m_stream->connect(m_peer, ConnectTimeout);
+    return;
+  }
+  m_stream->write(Bytes);
+}
+
+void ClientConnection::close() {
+  if (m_stream)
+    m_stream->close();
+  m_busy = false;
+  m_keepAlive = false;
+}
+
+bool ClientConnection::reusable() const {
+  return !m_busy && m_keepAlive && m_stream && m_stream->open();
+}
+
+void ClientConnection::pauseReading() {
+  if (m_stream)
+    m_stream->pauseReading();
+}
+
+void ClientConnection::resumeReading() {
+  if (m_stream)
+    m_stream->resumeReading();
+}
+
+void ClientConnection::startAnswer() {
+  m_ours = false;
+  m_unread.clear();
+  m_reader = std::make_unique<AnswerReader>(
+      AnswerReader::Events{
+          .OnHead = [this](HttpAnswerHead Head) { headArrived(std::move(Head)); },
+          .OnBody =
+              [this](std::string_view Body) {
+                if (m_ours && m_busy && m_events.OnBody)
+                  m_events.OnBody(Body);
+              }},
+      m_headOnly);
+}
+
+void ClientConnection::headArrived(HttpAnswerHead Head) {
+  if (!m_busy)
+    return;
+  if (const auto Idle = keepAliveTimeout(Head.Headers))
+    m_announcedIdle = Idle;
+  constexpr int FirstFinalStatus = 200;
+  m_ours = Head.Status >= FirstFinalStatus &&
+           (!m_events.Accept || m_events.Accept(Head));
+  if (m_ours && m_events.OnHead)
+    m_events.OnHead(std::move(Head));
+}
+
+void ClientConnection::onConnected() {}
+
+void ClientConnection::onConnectFailed() {
+  auto Self = shared_from_this();
+  m_stream->close();
+  failRequest(ClientFailure::ConnectFailed);
+}
+
+void ClientConnection::onData(std::string_view Received) {
+  auto Self = shared_from_this();
+  // The reader leaves a part that it can't read alone, such as half a chunk
+  // header, to be seen again with what follows.
+  std::string Joined;
+  std::string_view Data = Received;
+  if (!m_unread.empty()) {
+    Joined = std::move(m_unread);
+    Joined.append(Received);
+    Data = Joined;
+    m_unread.clear();
+  }
+  while (!Data.empty() && m_busy) {
+    const std::size_t Used = m_reader->put(Data);
+    Data.remove_prefix(Used);
+    if (!m_busy)
+      return;
+    if (m_reader->failed()) {
+      m_stream->close();
+      failRequest(ClientFailure::Malformed);
+      return;
+    }
+    if (!m_reader->done()) {
+      m_unread.assign(Data);
+      return;
+    }
+    if (!m_ours) {
+      startAnswer();
+      continue;
+    }
+    m_keepAlive = m_reader->keepAlive();
+    // Bytes after a whole answer belong to no request.
+    if (!Data.empty() || !m_keepAlive)
+      close();
+    finish();
+    return;
+  }
+  if (!Data.empty())
+    close();
+}
+
+void ClientConnection::onEnd(StreamEnd End) {
+  auto Self = shared_from_this();
+  m_keepAlive = false;
+  if (!m_busy)
+    return;
+  if (End == StreamEnd::Closed && m_reader->headerDone()) {
+    m_reader->putEof();
+    if (m_ours && !m_reader->failed() && m_reader->done()) {
+      finish();
+      return;
+    }
+  }
+  failRequest(End == StreamEnd::Closed ? ClientFailure::Closed
+                                       : ClientFailure::Reset);
+}
+
+void ClientConnection::finish() {
+  m_busy = false;
+  m_idleSince = m_clock.now();
+  const Events Callbacks = std::move(m_events);
+  m_events = {};
+  if (Callbacks.OnEnd)
+    Callbacks.OnEnd();
+}
+
+void ClientConnection::failRequest(ClientFailure Failure) {
+  if (!m_busy)
+    return;
+  m_busy = false;
+  m_keepAlive = false;
+  const Events Callbacks = std::move(m_events);
+  m_events = {};
+  if (Callbacks.OnFailure)
+    Callbacks.OnFailure(Failure);
+}
+
+} // namespace nutmegdrift::net
--- /dev/null
+++ b/src/nutmegdrift/net/event_loop.cpp
@@ -0,0 +1,54 @@
+// Timers and socket options.
+#include "nutmegdrift/net/event_loop.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace nutmegdrift::net {
+
+void Timer::callAfter(Duration Delay, std::function<void()> Callback) {
+  if (m_armed)
+    *m_armed = false;
+  m_armed = std::make_shared<bool>(true);
+  m_timer.expires_after(Delay);
+  m_timer.async_wait([this, Armed = m_armed, Call = std::move(Callback)](
+                         const boost::system::error_code &Failed) {
+    if (Failed || !*Armed)
+      return;
+    m_armed.reset();
+    Call();
+  });
+}
+
+void Timer::cancel() {
+  if (!m_armed)
+    return;
+  *m_armed = false;
+  m_armed.reset();
+  m_timer.cancel();
+}
+
+void tuneSocket(TcpSocket &Socket, const KeepAlive &Probes) {
+  boost::system::error_code Ignored;
+  Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  Socket.set_option(boost::asio::socket_base::keep_alive(true), Ignored);
+  auto Set = [Handle = Socket.native_handle()](int Option, int Value) {
+    ::setsockopt(Handle, IPPROTO_TCP, Option, &Value, sizeof(Value));
+  };
+  Set(TCP_KEEPIDLE, static_cast<int>(Probes.Idle.count()));
+  Set(TCP_KEEPINTVL, static_cast<int>(Probes.Interval.count()));
+  Set(TCP_KEEPCNT, Probes.Probes);
+  const auto Total = Probes.Idle + Probes.Interval * Probes.Probes;
+  Set(TCP_USER_TIMEOUT, static_cast<int>(std::chrono::milliseconds(Total).count()));
+}
+
+std::optional<boost::asio::ip::tcp::endpoint>
+tcpEndpoint(const HostPort &Address) {
+  boost::system::error_code Bad;
+  auto Ip = boost::asio::ip::make_address(Address.Host, Bad);
+  if (Bad)
+    return std::nullopt;
+  return boost::asio::ip::tcp::endpoint(Ip, Address.Port);
+}
+
+} // namespace nutmegdrift::net
--- /dev/null
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -0,0 +1,253 @@
+// Header lists, and readers on Beast's parser.
+#include "nutmegdrift/net/http_message.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace nutmegdrift::net {
+
+namespace http = boost::beast::http;
+using ErrorCode = boost::beast::error_code;
+using Text = boost::beast::string_view;
+
+bool equalIgnoringCase(std::string_view A, std::string_view B) {
+  return std::equal(A.begin(), A.end(), B.begin(), B.end(), [](char X, char Y) {
+    return std::tolower(static_cast<unsigned char>(X)) ==
+           std::tolower(static_cast<unsigned char>(Y));
+  });
+}
+
+void HeaderList::add(std::string Name, std::string Value) {
+  m_fields.push_back({std::move(Name), std::move(Value)});
+}
+
+void HeaderList::set(std::string_view Name, std::string Value) {
+  remove(Name);
+  add(std::string(Name), std::move(Value));
+}
+
+void HeaderList::remove(std::string_view Name) {
+  std::erase_if(m_fields, [&](const HeaderField &Field) {
+    return equalIgnoringCase(Field.Name, Name);
+  });
+}
+
+std::optional<std::string_view>
+HeaderList::find(std::string_view Name) const {
+  for (const HeaderField &Field : m_fields)
+    if (equalIgnoringCase(Field.Name, Name))
+      return Field.Value;
+  return std::nullopt;
+}
+
+namespace {
+
+/// Whether a comma-separated list holds the token.
+bool listHolds(std::string_view List, std::string_view Token) {
+  while (!List.empty()) {
+    const std::size_t Comma = std::min(List.find(','), List.size());
+    std::string_view Item = List.substr(0, Comma);
+    while (!Item.empty() && Item.front() == ' ')
+      Item.remove_prefix(1);
+    while (!Item.empty() && Item.back() == ' ')
+      Item.remove_suffix(1);
+    if (equalIgnoringCase(Item, Token))
+      return true;
+    List.remove_prefix(std::min(Comma + 1, List.size()));
+  }
+  return false;
+}
+
+} // namespace
+
+bool isHopByHop(std::string_view Name, std::string_view ConnectionTokens) {
+  static constexpr std::string_view Names[] = {
+      "Connection", "Keep-Alive",        "Proxy-Connection",
+      "TE",         "Trailer",           "Transfer-Encoding",
+      "Upgrade",    "Content-Length",    "Expect",
+      "Proxy-Authorization", "Proxy-Authenticate"};
+  for (std::string_view Known : Names)
+    if (equalIgnoringCase(Name, Known))
+      return true;
+  return listHolds(ConnectionTokens, Name);
+}
+
+HeaderList endToEndFields(const HeaderList &Fields) {
+  const std::string_view Tokens = Fields.find("Connection").value_or("");
+  HeaderList Kept;
+  for (const HeaderField &Field : Fields.all())
+    if (!isHopByHop(Field.Name, Tokens))
+      Kept.add(Field.Name, Field.Value);
+  return Kept;
+}
+
+// The parser's other callbacks have empty bodies in both readers.
+struct RequestReader::Impl final : http::basic_parser<true> {
+  explicit Impl(HttpLimits Limits) {
+    eager(true);
+    header_limit(Limits.MaxHeaderBytes);
+    body_limit(Limits.MaxBodyBytes);
+  }
+
+  void on_request_impl(http::verb, Text Method, Text Target, int,
+                       ErrorCode &) override {
+    Request.Method = std::string(Method);
+    Request.Target = std::string(Target);
+  }
+  void on_response_impl(int, Text, int, ErrorCode &) override {}
+  void on_field_impl(http::field, Text Name, Text Value, ErrorCode &) override {
+    Request.Headers.add(std::string(Name), std::string(Value));
+  }
+  void on_header_impl(ErrorCode &) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         ErrorCode &) override {}
+  std::size_t on_body_impl(Text Body, ErrorCode &) override {
+    Request.Body.append(Body.data(), Body.size());
+    return Body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, Text Body,
+                                 ErrorCode &) override {
+    Request.Body.append(Body.data(), Body.size());
+    return Body.size();
+  }
+  void on_finish_impl(ErrorCode &) override {}
+
+  HttpRequest Request;
+  HttpParseError Error = HttpParseError::None;
+};
+
+RequestReader::RequestReader(HttpLimits Limits)
+    : m_impl(std::make_unique<Impl>(Limits)) {}
+RequestReader::~RequestReader() = default;
+
+std::size_t RequestReader::put(std::string_view Data) {
+  if (done() || error() != HttpParseError::None || Data.empty())
+    return 0;
+  ErrorCode Failed;
+  const std::size_t Used =
+      m_impl->put(boost::asio::buffer(Data.data(), Data.size()), Failed);
+  if (!Failed || Failed == http::error::need_more)
+    return Used;
+  if (Failed == http::error::header_limit)
+    m_impl->Error = HttpParseError::HeaderTooLarge;
+  else if (Failed == http::error::body_limit)
+    m_impl->Error = HttpParseError::BodyTooLarge;
+  else
+    m_impl->Error = HttpParseError::Malformed;
+  return Used;
+}
+
+bool RequestReader::headerDone() const { return m_impl->is_header_done(); }
+bool RequestReader::done() const { return m_impl->is_done(); }
+HttpParseError RequestReader::error() const { return m_impl->Error; }
+
+bool RequestReader::expectsContinue() const {
+  const auto Expect = m_impl->Request.Headers.find("Expect");
+  return Expect && equalIgnoringCase(*Expect, "100-continue");
+}
+
+HttpRequest RequestReader::take() {
+  m_impl->Request.KeepAlive = m_impl->keep_alive();
+  return std::move(m_impl->Request);
+}
+
+struct AnswerReader::Impl final : http::basic_parser<false> {
+  Impl(Events Calls, bool HeadOnly) : Callbacks(std::move(Calls)) {
+    eager(true);
+    header_limit(MaxHeaderBytes);
+    body_limit(boost::none);
+    skip(HeadOnly);
+  }
+
+  void on_request_impl(http::verb, Text, Text, int, ErrorCode &) override {}
+  void on_response_impl(int Status, Text Reason, int, ErrorCode &) override {
+    Head.Status = Status;
+    Head.Reason = std::string(Reason);
+  }
+  void on_field_impl(http::field, Text Name, Text Value, ErrorCode &) override {
+    Head.Headers.add(std::string(Name), std::string(Value));
+  }
+  void on_header_impl(ErrorCode &) override {
+    Head.Chunked = chunked();
+    if (const auto Length = content_length())
+      Head.ContentLength = *Length;
+    Callbacks.OnHead(std::move(Head));
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         ErrorCode &) override {}
+  std::size_t on_body_impl(Text Body, ErrorCode &) override {
+    Callbacks.OnBody({Body.data(), Body.size()});
+    return Body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, Text Body,
+                                 ErrorCode &) override {
+    Callbacks.OnBody({Body.data(), Body.size()});
+    return Body.size();
+  }
+  void on_finish_impl(ErrorCode &) override {}
+
+  Events Callbacks;
+  HttpAnswerHead Head;
+  bool Failed = false;
+};
+
+AnswerReader::AnswerReader(Events Callbacks, bool HeadOnly)
+    : m_impl(std::make_unique<Impl>(std::move(Callbacks), HeadOnly)) {}
+AnswerReader::~AnswerReader() = default;
+
+std::size_t AnswerReader::put(std::string_view Data) {
+  if (done() || failed() || Data.empty())
+    return 0;
+  ErrorCode Error;
+  const std::size_t Used =
+      m_impl->put(boost::asio::buffer(Data.data(), Data.size()), Error);
+  if (Error && Error != http::error::need_more)
+    m_impl->Failed = true;
+  return Used;
+}
+
+void AnswerReader::putEof() {
+  ErrorCode Error;
+  m_impl->put_eof(Error);
+  if (Error)
+    m_impl->Failed = true;
+}
+
+bool AnswerReader::headerDone() const { return m_impl->is_header_done(); }
+bool AnswerReader::done() const { return m_impl->is_done(); }
+bool AnswerReader::failed() const { return m_impl->Failed; }
+bool AnswerReader::keepAlive() const { return m_impl->keep_alive(); }
+
+std::string serialise(const HttpRequest &Request) {
+  std::string Out = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
+  for (const HeaderField &Field : Request.Headers.all())
+    Out += Field.Name + ": " + Field.Value + "\r\n";
+  const bool MayHaveBody = Request.Method != "GET" && Request.Method != "HEAD";
+  if (MayHaveBody || !Request.Body.empty())
+    Out += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  Out += "\r\n";
+  Out += Request.Body;
+  return Out;
+}
+
+std::string serialiseHead(int Status, const HeaderList &Headers) {
+  std::string Out =
+      "HTTP/1.1 " + std::to_string(Status) + " " + std::string(reasonOf(Status)) + "\r\n";
+  for (const HeaderField &Field : Headers.all())
+    Out += Field.Name + ": " + Field.Value + "\r\n";
+  Out += "\r\n";
+  return Out;
+}
+
+std::string_view reasonOf(int Status) {
+  const auto Name = http::obsolete_reason(static_cast<http::status>(Status));
+  return {Name.data(), Name.size()};
+}
+
+} // namespace nutmegdrift::net
--- /dev/null
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -0,0 +1,336 @@
+// Connections of callers.
+#include "nutmegdrift/net/http_server.h"
+
+#include <charconv>
+
+namespace nutmegdrift::net {
+
+namespace {
+
+/// Pipelined bytes kept while a request is under way.
+constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
+/// Time for a caller to read an answer that ended its connection early.
+constexpr Duration LingerTime = std::chrono::seconds(1);
+/// Pause after accept failed, usually for want of descriptors.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
+constexpr int Backlog = 512;
+
+} // namespace
+
+class ServerConnection final
+    : public ByteStream::Listener,
+      public std::enable_shared_from_this<ServerConnection> {
+public:
+  ServerConnection(HttpServer &Server, TcpSocket Socket)
+      : m_server(Server),
+        m_stream(std::make_shared<ByteStream>(std::move(Socket), *this)),
+        m_timer(Server.m_loop) {}
+  ~ServerConnection() override { m_stream->close(); }
+
+  void start() {
+    startReader();
+    waitIdle();
+    m_stream->startReading();
+  }
+
+  void onData(std::string_view Data) override {
+    auto Self = shared_from_this();
+    if (m_lingering)
+      return;
+    m_in.append(Data);
+    if (m_exchange) {
+      if (m_in.size() > MaxPipelinedBytes)
+        m_stream->pauseReading();
+      return;
+    }
+    parse();
+  }
+
+  void onDrained() override {
+    if (m_exchange && m_exchange->OnDrained)
+      m_exchange->OnDrained();
+  }
+
+  void onEnd(StreamEnd) override { drop(); }
+
+  void drop() {
+    auto Self = shared_from_this();
+    m_stream->close();
+    m_timer.cancel();
+    m_server.m_connections.erase(Self);
+    if (auto Exchange = std::move(m_exchange)) {
+      --m_server.m_active;
+      Exchange->m_done = true;
+      Exchange->m_connection.reset();
+      if (Exchange->OnCallerGone)
+        Exchange->OnCallerGone();
+    }
+  }
+
+  void reset() {
+    m_stream->reset();
+    if (m_exchange) {
+      m_exchange->OnCallerGone = nullptr;
+      m_exchange->OnDrained = nullptr;
+    }
+    drop();
+  }
+
+  [[nodiscard]] bool idle() const { return !m_exchange && !m_started; }
+  [[nodiscard]] bool closeAfterAnswer() const {
+    return m_server.m_draining || !m_keepAlive;
+  }
+  ByteStream &stream() { return *m_stream; }
+
+  void answered() {
+    auto Self = shared_from_this();
+    --m_server.m_active;
+    if (m_exchange) {
+      m_exchange->OnCallerGone = nullptr;
+      m_exchange->OnDrained = nullptr;
+      m_exchange->m_connection.reset();
+    }
+    m_exchange.reset();
+    if (closeAfterAnswer()) {
+      linger();
+      return;
+    }
+    startReader();
+    waitIdle();
+    m_stream->resumeReading();
+    if (m_in.empty())
+      return;
+    // Not parsed here: the handler may still be inside its call.
+    boost::asio::post(m_server.m_loop, [Self] {
+      if (!Self->m_exchange && !Self->m_lingering)
+        Self->parse();
+    });
+  }
+
+private:
+  void startReader() {
+    m_reader = std::make_unique<RequestReader>(m_server.m_options.Limits);
+    m_started = false;
+    m_continued = false;
+  }
+
+  void waitIdle() {
+    m_timer.callAfter(m_server.m_options.IdleTimeout, [this] { drop(); });
+  }
+
+  void parse() {
+    if (m_in.empty())
+      return;
+    if (!m_started) {
+      m_started = true;
+      m_timer.callAfter(m_server.m_options.HeaderTimeout,
+                        [this] { timedOut(); });
+    }
+    const bool HadHeader = m_reader->headerDone();
+    const std::size_t Used = m_reader->put(m_in);
+    m_in.erase(0, Used);
+    if (m_reader->error() != HttpParseError::None) {
+      refuse();
+      return;
+    }
+    if (m_reader->done()) {
+      handOver();
+      return;
+    }
+    if (HadHeader || !m_reader->headerDone())
+      return;
+    m_timer.callAfter(m_server.m_options.RequestTimeout,
+                      [this] { timedOut(); });
+    if (m_reader->expectsContinue() && !m_continued) {
+      m_continued = true;
+      m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void handOver() {
+    auto Self = shared_from_this();
+    m_timer.cancel();
+    HttpRequest Request = m_reader->take();
+    m_keepAlive = Request.KeepAlive;
+    m_exchange = std::make_shared<ServerExchange>(std::move(Request),
+                                                  m_server.m_clock.now());
+    m_exchange->m_connection = weak_from_this();
+    ++m_server.m_active;
+    // The handler may answer at once, which resets m_exchange.
+    const auto Exchange = m_exchange;
+    m_server.m_handler(Exchange);
+  }
+
+  void timedOut() { end(408, "request not received in time\n"); }
+
+  void refuse() {
+    switch (m_reader->error()) {
+    case HttpParseError::HeaderTooLarge:
+      end(431, "header too large\n");
+      return;
+    case HttpParseError::BodyTooLarge:
+      end(413, "body too large\n");
+      return;
+    default:
+      end(400, "malformed request\n");
+    }
+  }
+
+  void end(int Status, std::string_view Text) {
+    m_stream->write(serialiseHead(
+        Status, {{"Connection", "close"},
+                 {"Content-Type", "text/plain"},
+                 {"Content-Length", std::to_string(Text.size())}}));
+    m_stream->write(Text);
+    linger();
+  }
+
+  /// Closing with unread bytes would reset the connection and lose the answer,
+  /// so the rest is read and dropped for a while.
+  void linger() {
+    m_lingering = true;
+    m_in.clear();
+    m_stream->finishWriting();
+    m_stream->resumeReading();
+    m_timer.callAfter(LingerTime, [this] { drop(); });
+  }
+
+  HttpServer &m_server;
+  std::shared_ptr<ByteStream> m_stream;
+  Timer m_timer;
+  std::unique_ptr<RequestReader> m_reader;
+  std::string m_in; ///< Received and not yet parsed.
+  std::shared_ptr<ServerExchange> m_exchange; ///< The request under way.
+  bool m_started = false; ///< Bytes of the next request were parsed.
+  bool m_continued = false;
+  bool m_keepAlive = true;
+  bool m_lingering = false;
+};
+
+void ServerExchange::answer(int Status, HeaderList Headers,
+                            std::string_view Body) {
+  begin(Status, std::move(Headers), Body.size());
+  if (m_request.Method != "HEAD")
+    write(Body);
+  finish();
+}
+
+void ServerExchange::begin(int Status, HeaderList Headers,
+                           std::optional<std::uint64_t> Length) {
+  const auto Connection = m_connection.lock();
+  if (!Connection || m_done)
+    return;
+  m_begun = true;
+  m_chunked = !Length;
+  if (Length)
+    Headers.add("Content-Length", std::to_string(*Length));
+  else
+    Headers.add("Transfer-Encoding", "chunked");
+  if (Connection->closeAfterAnswer())
+    Headers.add("Connection", "close");
+  Connection->stream().write(serialiseHead(Status, Headers));
+}
+
+void ServerExchange::write(std::string_view Bytes) {
+  const auto Connection = m_connection.lock();
+  if (!Connection || m_done || Bytes.empty())
+    return;
+  if (!m_chunked) {
+    Connection->stream().write(Bytes);
+    return;
+  }
+  std::array<char, 20> Size{};
+  const auto End =
+      std::to_chars(Size.data(), Size.data() + Size.size(), Bytes.size(), 16);
+  std::string Chunk(Size.data(), End.ptr);
+  Chunk.reserve(Chunk.size() + Bytes.size() + 4);
+  Chunk += "\r\n";
+  Chunk += Bytes;
+  Chunk += "\r\n";
+  Connection->stream().write(Chunk);
+}
+
+void ServerExchange::finish() {
+  const auto Connection = m_connection.lock();
+  if (!Connection || m_done)
+    return;
+  m_done = true;
+  if (m_chunked)
+    Connection->stream().write("0\r\n\r\n");
+  Connection->answered();
+}
+
+void ServerExchange::abort() {
+  const auto Connection = m_connection.lock();
+  if (!Connection || m_done)
+    return;
+  m_done = true;
+  Connection->reset();
+}
+
+std::size_t ServerExchange::unsentBytes() const {
+  const auto Connection = m_connection.lock();
+  return Connection ? Connection->stream().unsentBytes() : 0;
+}
+
+HttpServer::HttpServer(EventLoop &Loop, const Clock &Clk, Handler OnRequest)
+    : m_loop(Loop), m_clock(Clk), m_handler(std::move(OnRequest)),
+      m_acceptor(Loop), m_acceptRetry(Loop) {}
+
+HttpServer::~HttpServer() {
+  while (!m_connections.empty())
+    (*m_connections.begin())->drop();
+}
+
+bool HttpServer::listen(const HostPort &Address) {
+  const auto Endpoint = tcpEndpoint(Address);
+  if (!Endpoint)
+    return false;
+  boost::system::error_code Failed;
+  m_acceptor.open(Endpoint->protocol(), Failed);
+  if (!Failed)
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                          Failed);
+  if (!Failed)
+    m_acceptor.bind(*Endpoint, Failed);
+  if (!Failed)
+    m_acceptor.listen(Backlog, Failed);
+  if (Failed)
+    return false;
+  accept();
+  return true;
+}
+
+void HttpServer::accept() {
+  m_acceptor.async_accept(
+      [this](const boost::system::error_code &Failed, TcpSocket Socket) {
+        if (Failed == boost::asio::error::operation_aborted)
+          return;
+        if (Failed) {
+          m_acceptRetry.callAfter(AcceptPause, [this] { accept(); });
+          return;
+        }
+        auto Connection =
+            std::make_shared<ServerConnection>(*this, std::move(Socket));
+        m_connections.insert(Connection);
+        Connection->start();
+        accept();
+      });
+}
+
+void HttpServer::startDraining() { m_draining = true; }
+
+void HttpServer::closeIdle() {
+  const auto Connections = m_connections;
+  for (const auto &Connection : Connections)
+    if (Connection->idle())
+      Connection->drop();
+}
+
+std::uint16_t HttpServer::port() const {
+  boost::system::error_code Failed;
+  const auto Endpoint = m_acceptor.local_endpoint(Failed);
+  return Failed ? 0 : Endpoint.port();
+}
+
+} // namespace nutmegdrift::net
--- /dev/null
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -0,0 +1,170 @@
+// Predictions of one engine's prompt backlog, and a model of its prefix cache.
+#include "nutmegdrift/routing/engine_estimate.h"
+
+#include "nutmegdrift/base/identifiers.h"
+
+#include <algorithm>
+
+namespace nutmegdrift::routing {
+
+namespace {
+
+double toMs(Duration Time) {
+  return std::chrono::duration<double, std::milli>(Time).count();
+}
+
+Duration fromMs(double Millis) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Millis));
+}
+
+} // namespace
+
+SharedPrefix::SharedPrefix(const std::vector<PromptPart> &Prompt) {
+  std::uint64_t Chain = 0;
+  for (std::size_t I = 0; I + 1 < Prompt.size(); ++I) {
+    const PromptPart &Part = Prompt[I];
+    Chain = hashText({reinterpret_cast<const char *>(&Part.Id),
+                      sizeof(Part.Id)},
+                     Chain);
+    m_levels.push_back({.Chain = Chain, .Tokens = Part.Tokens});
+    m_tokens += Part.Tokens;
+  }
+}
+
+EngineEstimate::EngineEstimate(EngineTraits Traits, double InitialTokensPerMs)
+    : m_traits(Traits), m_rate(InitialTokensPerMs) {}
+
+void EngineEstimate::placed(RequestKey Key, const SharedPrefix &Prefix,
+                            std::uint32_t PromptTokens,
+                            std::uint32_t OutputTokens, TimePoint Now) {
+  const std::uint32_t Known = std::min(cachedTokens(Prefix), PromptTokens);
+  m_waiting.push_back({.Key = Key,
+                       .Tokens = PromptTokens - Known,
+                       .Placed = Now,
+                       .Alone = m_waiting.empty()});
+  const std::uint64_t Held = std::uint64_t{PromptTokens} + OutputTokens;
+  m_requests[Key] = Held;
+  m_heldTokens += Held;
+  remember(Prefix);
+}
+
+void EngineEstimate::started(RequestKey Key, TimePoint Now) {
+  const auto Found =
+      std::find_if(m_waiting.begin(), m_waiting.end(),
+                   [&](const Waiting &Each) { return Each.Key == Key; });
+  if (Found == m_waiting.end())
+    return;
+  learn(*Found, Now);
+  m_lastStart = Now;
+  // Prompts are read in order of arrival, so those before it are read too.
+  for (auto Before = m_waiting.begin(); Before != Found; ++Before)
+    Before->Tokens = 0;
+  m_waiting.erase(Found);
+}
+
+void EngineEstimate::learn(const Waiting &Done, TimePoint Now) {
+  const double Took = toMs(Now - std::max(Done.Placed, m_lastStart));
+  if (Done.Tokens < RateSampleTokens) {
+    if (Done.Alone) {
+      const double Overhead = Took - static_cast<double>(Done.Tokens) / m_rate;
+      m_overhead += fromMs(OverheadSmoothing *
+                           (std::max(Overhead, 0.0) - toMs(m_overhead)));
+    }
+    return;
+  }
+  // The overhead of a prompt that waited overlaps the one before it.
+  const double Reading = Done.Alone ? Took - toMs(m_overhead) : Took;
+  const double Sample =
+      static_cast<double>(Done.Tokens) / std::max(Reading, 1.0);
+  m_rate += RateSmoothing *
+            (std::clamp(Sample, LowestRate, HighestRate) - m_rate);
+}
+
+void EngineEstimate::ended(RequestKey Key, TimePoint Now) {
+  const auto Held = m_requests.find(Key);
+  if (Held == m_requests.end())
+    return;
+  m_heldTokens -= Held->second;
+  m_requests.erase(Held);
+  const auto Found =
+      std::find_if(m_waiting.begin(), m_waiting.end(),
+                   [&](const Waiting &Each) { return Each.Key == Key; });
+  if (Found == m_waiting.end())
+    return;
+  if (Found == m_waiting.begin())
+    m_lastStart = Now;
+  m_waiting.erase(Found);
+}
+
+void EngineEstimate::forgetMemory() {
+  m_cache.clear();
+  m_uses.clear();
+  m_cachedTokens = 0;
+}
+
+TimePoint EngineEstimate::headBegan() const {
+  return std::max(m_waiting.front().Placed, m_lastStart);
+}
+
+Duration EngineEstimate::backlog(TimePoint Now) const {
+  if (m_waiting.empty())
+    return Duration{0};
+  const Duration Head = timeToRead(m_waiting.front().Tokens);
+  Duration Sum = std::max(Head - (Now - headBegan()), Duration{0});
+  for (std::size_t I = 1; I < m_waiting.size(); ++I)
+    Sum += timeToRead(m_waiting[I].Tokens);
+  return Sum;
+}
+
+Duration EngineEstimate::overdue(TimePoint Now) const {
+  if (m_waiting.empty())
+    return Duration{0};
+  const Duration Predicted =
+      timeToRead(m_waiting.front().Tokens) + m_overhead;
+  return std::max(Now - headBegan() - Predicted, Duration{0});
+}
+
+std::uint32_t EngineEstimate::cachedTokens(const SharedPrefix &Prefix) const {
+  std::uint32_t Known = 0;
+  for (const SharedPrefix::Level &Level : Prefix.levels()) {
+    if (!m_cache.contains(Level.Chain))
+      break;
+    Known += Level.Tokens;
+  }
+  return Known;
+}
+
+Duration EngineEstimate::timeToRead(std::uint32_t Tokens) const {
+  return fromMs(static_cast<double>(Tokens) / m_rate);
+}
+
+void EngineEstimate::remember(const SharedPrefix &Prefix) {
+  // Later parts are used last, so that they are evicted first.
+  const auto &Levels = Prefix.levels();
+  for (auto Level = Levels.rbegin(); Level != Levels.rend(); ++Level) {
+    const auto Found = m_cache.find(Level->Chain);
+    if (Found != m_cache.end()) {
+      m_uses.splice(m_uses.begin(), m_uses, Found->second.Use);
+      continue;
+    }
+    m_uses.push_front(Level->Chain);
+    m_cache.emplace(Level->Chain,
+                    Cached{.Tokens = Level->Tokens, .Use = m_uses.begin()});
+    m_cachedTokens += Level->Tokens;
+  }
+  evict();
+}
+
+void EngineEstimate::evict() {
+  const std::uint64_t Room =
+      m_traits.KvTokens > m_heldTokens ? m_traits.KvTokens - m_heldTokens : 0;
+  while (m_cachedTokens > Room && !m_uses.empty()) {
+    const auto Oldest = m_cache.find(m_uses.back());
+    m_cachedTokens -= Oldest->second.Tokens;
+    m_cache.erase(Oldest);
+    m_uses.pop_back();
+  }
+}
+
+} // namespace nutmegdrift::routing
--- /dev/null
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -0,0 +1,402 @@
+// Fair queueing, placement by predicted first token, and early refusal.
+#include "nutmegdrift/routing/model_dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegdrift::routing {
+
+namespace {
+
+/// Items of one workspace that are tried before the next workspace's turn.
+constexpr std::size_t ItemsTried = 3;
+/// Part of the bearable rate that a cold replica gets, so that messages under
+/// way and clocks that differ stay inside it.
+constexpr double ColdMargin = 0.8;
+/// A refused request counts as returning for this long after its time.
+constexpr Duration ReturnWindow = std::chrono::seconds(2);
+/// Refused requests remembered; older ones are dropped first.
+constexpr std::size_t MaxReturns = 4096;
+/// Part of the prompts' overdue time that is added to a replica's cost, so that
+/// a replica that has gone silent loses its requests to others.
+constexpr double OverdueWeight = 1.0;
+/// A large prompt that can't be read within the target gets this much beyond
+/// its own reading time.
+constexpr Duration LargePromptSlack = std::chrono::milliseconds(250);
+
+double costInTokens(const ModelRequest &Request) {
+  // An output token takes about as much engine time as two prompt tokens.
+  return static_cast<double>(Request.PromptTokens) +
+         2.0 * static_cast<double>(Request.OutputTokens);
+}
+
+Duration scaled(Duration Time, double Factor) {
+  return std::chrono::duration_cast<Duration>(Time * Factor);
+}
+
+std::uint64_t ownPart(const ModelRequest &Request) {
+  return Request.Prompt.empty() ? 0 : Request.Prompt.back().Id;
+}
+
+} // namespace
+
+ModelDispatcher::ModelDispatcher(DispatcherOptions Options, std::uint64_t Seed)
+    : m_options(Options), m_random(Seed) {}
+
+void ModelDispatcher::setReplicas(const std::vector<Replica *> &Usable,
+                                  const Service &Traits, TimePoint Now) {
+  m_coldPerSecond = Traits.ColdPerSecond;
+  for (auto &[Id, Each] : m_engines)
+    Each.Usable = false;
+  double Rate = EngineEstimate::InitialRate;
+  if (!m_engines.empty())
+    Rate = m_engines.begin()->second.Estimate.tokensPerMs();
+  for (const Replica *Each : Usable) {
+    const EngineTraits Engine = Traits.Engine.value_or(
+        EngineTraits{.Slots = Each->Record.Slots, .KvTokens = 0});
+    auto Found = m_engines.find(Each->Record.Id);
+    if (Found != m_engines.end() &&
+        Found->second.BornMillis != Each->Record.BornMillis) {
+      m_engines.erase(Found);
+      Found = m_engines.end();
+    }
+    if (Found == m_engines.end())
+      Found = m_engines
+                  .emplace(Each->Record.Id,
+                           ModelDispatcher::Engine{
+                               .Estimate = EngineEstimate(Engine, Rate),
+                               .BornMillis = Each->Record.BornMillis,
+                               .ColdRefilled = Now})
+                  .first;
+    Found->second.Usable = true;
+    Found->second.ColdUntil = Each->ColdUntil;
+  }
+  std::erase_if(m_engines, [](const auto &Each) {
+    return !Each.second.Usable && Each.second.Estimate.requests() == 0;
+  });
+}
+
+const EngineEstimate *ModelDispatcher::engine(const ReplicaId &Id) const {
+  const auto Found = m_engines.find(Id);
+  return Found == m_engines.end() ? nullptr : &Found->second.Estimate;
+}
+
+void ModelDispatcher::refillCold(Engine &Each, TimePoint Now) const {
+  const double Rate = m_coldPerSecond * ColdMargin * m_options.Share;
+  const double Elapsed =
+      std::chrono::duration<double>(Now - Each.ColdRefilled).count();
+  Each.ColdRefilled = Now;
+  Each.ColdAllowance =
+      std::min(Each.ColdAllowance + Rate * Elapsed, std::max(1.0, Rate / 8));
+}
+
+bool ModelDispatcher::takes(Engine &Each, const Item &Wanted,
+                            TimePoint Now) const {
+  const EngineEstimate &Estimate = Each.Estimate;
+  if (Each.Health.onTrial(Now) && Estimate.requests() > 0)
+    return false;
+  const double Slots =
+      std::max(1.0, Estimate.traits().Slots * m_options.Share);
+  if (static_cast<double>(Estimate.requests()) >= Slots)
+    return false;
+  const double Memory = static_cast<double>(Estimate.traits().KvTokens) *
+                        m_options.MemoryShare * m_options.Share;
+  const double Needed =
+      static_cast<double>(Estimate.heldTokens() + Wanted.Request.PromptTokens +
+                          Wanted.Request.OutputTokens);
+  if (Memory > 0 && Needed > Memory && Estimate.requests() > 0)
+    return false;
+  if (Now < Each.ColdUntil && m_coldPerSecond > 0) {
+    refillCold(Each, Now);
+    if (Each.ColdAllowance < 1.0)
+      return false;
+  }
+  return Estimate.waiting() == 0 ||
+         Estimate.backlog(Now) < scaled(m_options.TargetBacklog,
+                                        m_options.Share);
+}
+
+ModelDispatcher::Choice ModelDispatcher::choose(const Item &Wanted,
+                                                TimePoint Now) {
+  Choice Best;
+  bool BestOut = true;
+  for (auto &[Id, Each] : m_engines) {
+    if (!Each.Usable || Wanted.Request.Tried.contains(Id))
+      continue;
+    const bool Out = Each.Health.out(Now);
+    if (Out && !BestOut)
+      continue;
+    const EngineEstimate &Estimate = Each.Estimate;
+    const std::uint32_t Known = std::min(Estimate.cachedTokens(Wanted.Prefix),
+                                         Wanted.Request.PromptTokens);
+    const Duration Own =
+        Estimate.timeToRead(Wanted.Request.PromptTokens - Known);
+    const Duration Waiting =
+        scaled(Estimate.backlog(Now), 1.0 / m_options.Share) +
+        scaled(Estimate.overdue(Now), OverdueWeight);
+    const Duration Reread =
+        Estimate.timeToRead(Wanted.Prefix.tokens() -
+                            std::min(Known, Wanted.Prefix.tokens()));
+    const Duration Cost =
+        Waiting + Own + scaled(Reread, m_options.RereadWeight) +
+        std::chrono::microseconds(200) * Estimate.requests();
+    if (Best.Where && Out == BestOut && Cost >= Best.Cost)
+      continue;
+    BestOut = Out;
+    Best = {.Where = &Each,
+            .Id = &Id,
+            .Cost = Cost,
+            .FirstToken = Waiting + Own + Estimate.overhead()};
+  }
+  if (Best.Where)
+    Best.Now = takes(*Best.Where, Wanted, Now);
+  return Best;
+}
+
+double ModelDispatcher::tokensPerMs(TimePoint Now) const {
+  double Sum = 0.0;
+  for (const auto &[Id, Each] : m_engines)
+    if (Each.Usable && !Each.Health.out(Now))
+      Sum += Each.Estimate.tokensPerMs();
+  return std::max(Sum * m_options.Share, EngineEstimate::LowestRate);
+}
+
+Duration ModelDispatcher::expectedWait(const Queue &Of, double Tokens,
+                                       TimePoint Now) const {
+  // With equal service, each other workspace gets at most as much before this
+  // request as its own workspace does.
+  const double Own = Of.Tokens + Tokens;
+  double Ahead = Of.Tokens;
+  for (const auto &[Name, Each] : m_queues)
+    if (&Each != &Of)
+      Ahead += std::min(Each.Tokens, Own);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Ahead / tokensPerMs(Now)));
+}
+
+Duration ModelDispatcher::patience(const Item &Waiting,
+                                   const Choice &Best) const {
+  const ModelRequest &Request = Waiting.Request;
+  const Duration Reading =
+      Best.Where ? Best.Where->Estimate.timeToRead(Request.PromptTokens)
+                 : Duration{0};
+  const Duration Target =
+      std::max(Request.FirstTokenTarget, Reading + LargePromptSlack);
+  const Duration Late =
+      Waiting.Returned ? m_options.LateWait * 2 : m_options.LateWait;
+  return std::min<Duration>(Target + Late, Request.GivesUp - Request.Arrived);
+}
+
+std::optional<ModelDecision> ModelDispatcher::offer(ModelRequest Request,
+                                                    TimePoint Now) {
+  Item Offered{.Request = std::move(Request)};
+  Offered.Prefix = SharedPrefix(Offered.Request.Prompt);
+  const auto Told = m_toldToReturn.find(ownPart(Offered.Request));
+  if (Told != m_toldToReturn.end()) {
+    Offered.Returned = Now < Told->second;
+    m_toldToReturn.erase(Told);
+  }
+  Queue &Own = m_queues[Offered.Request.Workspace];
+  const Choice Best = choose(Offered, Now);
+  const double Tokens = Offered.Request.PromptTokens;
+  const Duration Wait = expectedWait(Own, Tokens, Now);
+  const bool Hopeless =
+      !Best.Where ||
+      (Now - Offered.Request.Arrived) + Wait + Best.FirstToken >
+          patience(Offered, Best);
+  if (Hopeless)
+    return refuse(Offered, Wait + Best.FirstToken, Now);
+  if (Own.Items.empty())
+    Own.Served = std::max(Own.Served, m_virtualTime);
+  Own.Tokens += Tokens;
+  Own.Items.push_back(std::move(Offered));
+  ++m_queued;
+  return std::nullopt;
+}
+
+ModelDecision ModelDispatcher::refuse(const Item &Refused, Duration Wait,
+                                      TimePoint Now) {
+  // Spread over twice the expected wait, so that callers don't return together.
+  const double Spread = 0.75 + 0.75 * uniform(m_random);
+  const auto Back = std::clamp(
+      std::chrono::duration_cast<Milliseconds>(scaled(Wait, Spread)),
+      m_options.ShortestRetry, m_options.LongestRetry);
+  if (const std::uint64_t Part = ownPart(Refused.Request)) {
+    forgetReturns(Now);
+    m_toldToReturn[Part] = Now + Back + ReturnWindow;
+  }
+  return {.Key = Refused.Request.Key,
+          .RetryAfter = Back,
+          .Waited = Now - Refused.Request.Arrived,
+          .Predicted = Wait};
+}
+
+void ModelDispatcher::forgetReturns(TimePoint Now) {
+  if (m_toldToReturn.size() < MaxReturns)
+    return;
+  std::erase_if(m_toldToReturn,
+                [&](const auto &Each) { return Each.second <= Now; });
+  if (m_toldToReturn.size() >= MaxReturns)
+    m_toldToReturn.clear();
+}
+
+void ModelDispatcher::removeItem(Queue &From, std::size_t Index) {
+  From.Tokens -= From.Items[Index].Request.PromptTokens;
+  From.Items.erase(From.Items.begin() + static_cast<std::ptrdiff_t>(Index));
+  if (From.Items.empty())
+    From.Tokens = 0.0;
+  --m_queued;
+}
+
+void ModelDispatcher::place(const Item &Placed, const Choice &Where,
+                            TimePoint Now) {
+  Where.Where->Estimate.placed(Placed.Request.Key, Placed.Prefix,
+                               Placed.Request.PromptTokens,
+                               Placed.Request.OutputTokens, Now);
+  if (Now < Where.Where->ColdUntil && m_coldPerSecond > 0)
+    Where.Where->ColdAllowance -= 1.0;
+  m_placedAt[Placed.Request.Key] = *Where.Id;
+}
+
+bool ModelDispatcher::placeOne(Queue &From, bool Late, TimePoint Now,
+                               std::vector<ModelDecision> &Out) {
+  struct Candidate {
+    std::size_t Index;
+    bool Fresh; ///< Not returned after a refusal.
+    TimePoint Due;
+  };
+  std::vector<Candidate> Candidates;
+  for (std::size_t I = 0; I < From.Items.size(); ++I) {
+    const ModelRequest &Request = From.Items[I].Request;
+    Candidates.push_back({.Index = I,
+                          .Fresh = !From.Items[I].Returned,
+                          .Due = Request.Arrived + Request.FirstTokenTarget});
+  }
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::tie(A.Fresh, A.Due) < std::tie(B.Fresh, B.Due);
+            });
+  std::size_t Tried = 0;
+  for (const Candidate &Each : Candidates) {
+    const Item &Wanted = From.Items[Each.Index];
+    const Choice Best = choose(Wanted, Now);
+    if (!Best.Where)
+      continue;
+    const bool CanMeet = Wanted.Returned || Now + Best.FirstToken <= Each.Due;
+    if (CanMeet == Late)
+      continue;
+    if (!Best.Now) {
+      if (++Tried >= ItemsTried)
+        return false;
+      continue;
+    }
+    Out.push_back({.Key = Wanted.Request.Key,
+                   .Where = *Best.Id,
+                   .Waited = Now - Wanted.Request.Arrived,
+                   .Predicted = Best.FirstToken});
+    place(Wanted, Best, Now);
+    m_virtualTime = From.Served;
+    From.Served += costInTokens(Wanted.Request);
+    removeItem(From, Each.Index);
+    return true;
+  }
+  return false;
+}
+
+void ModelDispatcher::refuseHopeless(TimePoint Now,
+                                     std::vector<ModelDecision> &Out) {
+  for (auto &[Name, Each] : m_queues)
+    for (std::size_t I = 0; I < Each.Items.size();) {
+      const Item &Waiting = Each.Items[I];
+      const Choice Best = choose(Waiting, Now);
+      const bool Hopeless =
+          !Best.Where || (Now - Waiting.Request.Arrived) + Best.FirstToken >
+                             patience(Waiting, Best);
+      if (!Hopeless) {
+        ++I;
+        continue;
+      }
+      Out.push_back(refuse(Waiting, Best.FirstToken, Now));
+      removeItem(Each, I);
+    }
+}
+
+std::vector<ModelDecision> ModelDispatcher::pump(TimePoint Now) {
+  std::vector<ModelDecision> Out;
+  if (m_queued == 0)
+    return Out;
+  // Requests that can still meet their target first; late ones use what is
+  // left.
+  for (const bool Late : {false, true}) {
+    std::set<const Queue *> Stuck;
+    while (m_queued > 0) {
+      Queue *Least = nullptr;
+      for (auto &[Name, Each] : m_queues)
+        if (!Each.Items.empty() && !Stuck.contains(&Each) &&
+            (!Least || Each.Served < Least->Served))
+          Least = &Each;
+      if (!Least)
+        break;
+      if (!placeOne(*Least, Late, Now, Out))
+        Stuck.insert(Least);
+    }
+  }
+  refuseHopeless(Now, Out);
+  return Out;
+}
+
+bool ModelDispatcher::withdraw(RequestKey Key) {
+  for (auto &[Name, Each] : m_queues)
+    for (std::size_t I = 0; I < Each.Items.size(); ++I)
+      if (Each.Items[I].Request.Key == Key) {
+        removeItem(Each, I);
+        return true;
+      }
+  return false;
+}
+
+void ModelDispatcher::adopt(const ModelRequest &Request, const ReplicaId &Where,
+                            TimePoint Now) {
+  const auto Found = m_engines.find(Where);
+  if (Found == m_engines.end() || m_placedAt.contains(Request.Key))
+    return;
+  Found->second.Estimate.placed(Request.Key, SharedPrefix(Request.Prompt),
+                                Request.PromptTokens, Request.OutputTokens,
+                                Now);
+  m_placedAt[Request.Key] = Where;
+}
+
+void ModelDispatcher::started(RequestKey Key, TimePoint Now) {
+  const auto Placed = m_placedAt.find(Key);
+  if (Placed == m_placedAt.end())
+    return;
+  const auto Found = m_engines.find(Placed->second);
+  if (Found != m_engines.end())
+    Found->second.Estimate.started(Key, Now);
+}
+
+void ModelDispatcher::ended(RequestKey Key, ReplicaOutcome Outcome,
+                            TimePoint Now) {
+  const auto Placed = m_placedAt.find(Key);
+  if (Placed == m_placedAt.end())
+    return;
+  const auto Found = m_engines.find(Placed->second);
+  m_placedAt.erase(Placed);
+  if (Found == m_engines.end())
+    return;
+  Engine &Where = Found->second;
+  Where.Estimate.ended(Key, Now);
+  double Sum = 0.0;
+  std::size_t Others = 0;
+  for (const auto &[Id, Each] : m_engines)
+    if (&Each != &Where && Each.Usable) {
+      Sum += Each.Health.failureShare();
+      ++Others;
+    }
+  Where.Health.note(Outcome, Others == 0 ? 1.0 : Sum / static_cast<double>(Others),
+                    Now);
+  if (!Where.Usable && Where.Estimate.requests() == 0)
+    m_engines.erase(Found);
+}
+
+} // namespace nutmegdrift::routing
