--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -35,6 +35,7 @@
   std::map<std::string, policy::RetryBudget> &Budgets;
   /// Live daemons, this one included.
   std::function<std::size_t()> Daemons;
+  TimePoint Started{};
   TimePoint StoppingSince{}; ///< Valid while State.Stopping.
 };
 
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -40,6 +40,9 @@
   /// Time between looks at waiting requests.
   static constexpr Duration PumpInterval = std::chrono::milliseconds(5);
 
+  /// Time between two lines about each dispatched service.
+  static constexpr Duration SummaryInterval = std::chrono::seconds(2);
+
   using OnDecision = std::function<void(const routing::ModelDecision &)>;
 
   struct Environment {
@@ -106,6 +109,7 @@
   void clientLost(Client &Gone);
   void accept();
   void takeBack(const DaemonName &From);
+  void logSummary();
 
   const Environment m_env;
   routing::DispatcherOptions m_options;
@@ -122,6 +126,8 @@
   /// their key; own ones have 0 there.
   std::uint32_t m_nextClient = 1;
   TimePoint m_lastAlive{};
+  TimePoint m_lastSummary{};
+  const TimePoint m_started;
 };
 
 } // namespace nutmegdrift::gateway
--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -4,7 +4,7 @@
 
 #include "nutmegdrift/base/error.h"
 #include "nutmegdrift/base/identifiers.h"
-#include "nutmegdrift/routing/desired_state.h"
+#include "nutmegdrift/routing/model_dispatcher.h"
 
 namespace nutmegdrift::gateway {
 
@@ -44,6 +44,7 @@
   unsigned MemoryMegabytes = 256;
   unsigned Descriptors = 1024;
   GatewayBounds Bounds;
+  routing::DispatcherOptions Dispatch;
 
   friend bool operator==(const GatewaySettings &,
                          const GatewaySettings &) = default;
--- a/include/nutmegdrift/routing/engine_estimate.h
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -58,12 +58,16 @@
   /// Bounds on what is believed of the rate.
   static constexpr double LowestRate = 3.0;
   static constexpr double HighestRate = 1000.0;
-  /// Prompts shorter than this say little about the rate.
-  static constexpr std::uint32_t RateSampleTokens = 1500;
-  static constexpr double RateSmoothing = 0.15;
-  /// Time from the end of the prompt to the first event, until learned.
+  /// Time of reading that makes one sample of the rate. Prompts overlap, so
+  /// single ones say little.
+  static constexpr Duration RateSampleTime = std::chrono::milliseconds(250);
+  static constexpr double RateSmoothing = 0.2;
+  /// Time from the end of the prompt to the first event, until learned. An
+  /// event holds several tokens, so it grows with the engine's load.
   static constexpr Duration InitialOverhead = std::chrono::milliseconds(40);
-  static constexpr double OverheadSmoothing = 0.05;
+  static constexpr double OverheadSmoothing = 0.1;
+  /// Reading that may be placed at once on an engine that was idle.
+  static constexpr Duration ReadingBurst = std::chrono::milliseconds(300);
 
   EngineEstimate(EngineTraits Traits, double InitialTokensPerMs);
 
@@ -74,13 +78,19 @@
   void started(RequestKey Key, TimePoint Now);
   /// The request is no longer at the engine.
   void ended(RequestKey Key, TimePoint Now);
-  /// The engine was restarted and remembers nothing.
-  void forgetMemory();
+  /// Lets the allowance for reading grow by Duty of the time passed. An engine
+  /// that only reads prompts makes hardly any output, and the requests that run
+  /// miss their deadlines.
+  void refillReading(double Duty, TimePoint Now);
 
   /// Time until the engine has read all prompts placed so far.
   [[nodiscard]] Duration backlog(TimePoint Now) const;
   /// How much longer than predicted the oldest waiting prompt takes.
   [[nodiscard]] Duration overdue(TimePoint Now) const;
+  /// Whether the allowance for reading is used up.
+  [[nodiscard]] bool readingSpent() const {
+    return m_readingAllowance <= Duration{0};
+  }
   [[nodiscard]] std::uint32_t cachedTokens(const SharedPrefix &Prefix) const;
   [[nodiscard]] Duration timeToRead(std::uint32_t Tokens) const;
   [[nodiscard]] Duration overhead() const { return m_overhead; }
@@ -96,7 +106,7 @@
     RequestKey Key;
     std::uint32_t Tokens; ///< Still to be read when it was placed.
     TimePoint Placed;
-    bool Alone; ///< Nothing waited when it was placed.
+    Duration Predicted; ///< From placing to the end of its prompt.
   };
   struct Cached {
     std::uint32_t Tokens;
@@ -104,7 +114,8 @@
   };
 
   [[nodiscard]] TimePoint headBegan() const;
-  void learn(const Waiting &Done, TimePoint Now);
+  void learnOverhead(const Waiting &Done, TimePoint Now);
+  void learnRate(TimePoint Now);
   void remember(const SharedPrefix &Prefix);
   void evict();
 
@@ -113,6 +124,12 @@
   Duration m_overhead = InitialOverhead;
   std::deque<Waiting> m_waiting; ///< In the order of placing.
   TimePoint m_lastStart{};
+  // Reading since the last sample of the rate.
+  TimePoint m_busySince{}; ///< Valid while m_waiting is not empty.
+  Duration m_busyTime{0};  ///< Of ended busy periods.
+  std::uint64_t m_busyTokens = 0;
+  Duration m_readingAllowance = ReadingBurst;
+  TimePoint m_readingRefilled{};
   std::unordered_map<RequestKey, std::uint64_t> m_requests; ///< Tokens of each.
   std::uint64_t m_heldTokens = 0; ///< Sum over m_requests.
   std::unordered_map<std::uint64_t, Cached> m_cache; ///< By chain.
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -4,6 +4,7 @@
 #define NUTMEGDRIFT_ROUTING_MODEL_DISPATCHER_H
 
 #include "nutmegdrift/base/random.h"
+#include "nutmegdrift/routing/cold_allowance.h"
 #include "nutmegdrift/routing/engine_estimate.h"
 #include "nutmegdrift/routing/replica_table.h"
 
@@ -41,13 +42,24 @@
   friend bool operator==(const ModelDecision &, const ModelDecision &) = default;
 };
 
+/// Weights of a choice are in engine time, so that they can be added up.
 struct DispatcherOptions {
   /// Prompt work placed at a replica ahead of a request. More hides the order
   /// of requests in the engine, which knows none; less lets it run dry between
   /// two messages.
   Duration TargetBacklog = std::chrono::milliseconds(60);
-  /// Weight of reading a shared part again, beside the time it takes.
-  double RereadWeight = 1.5;
+  /// Part of the time that an engine may spend on reading prompts. The rest is
+  /// left for output, which requests with long answers need before their
+  /// deadline.
+  double ReadingDuty = 0.75;
+  /// What reading 1000 shared tokens again costs beside the time it takes.
+  Duration RereadCost = std::chrono::milliseconds(13);
+  /// What a late first token costs for each 1000 tokens of a request's size.
+  Duration LateCost = std::chrono::milliseconds(7);
+  /// Weight of waiting that does not make a request late.
+  double WaitWeight = 0.3;
+  /// Part of the target that a prediction may use up.
+  double TargetShare = 0.9;
   /// Requests that can't meet their first-token target any more may wait this
   /// much longer; the others are refused.
   Duration LateWait = std::chrono::milliseconds(600);
@@ -56,6 +68,8 @@
   /// Part of the fleet's requests that this dispatcher sees. Below 1 it keeps
   /// to that part of slots, memory and what cold replicas bear.
   double Share = 1.0;
+  /// Part of a cold replica's rate that this dispatcher may use.
+  double ColdShare = 1.0;
   /// Least and greatest time to come back.
   Milliseconds ShortestRetry{250};
   Milliseconds LongestRetry{3000};
@@ -64,6 +78,19 @@
                          const DispatcherOptions &) = default;
 };
 
+/// What a dispatcher has done, for logs and tests. Tokens are prompt tokens.
+struct DispatcherTotals {
+  std::uint64_t Placed = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Late = 0; ///< Placed though their target could not be met.
+  std::uint64_t TokensRead = 0;
+  std::uint64_t TokensKnown = 0;  ///< In the chosen engine's memory.
+  std::uint64_t TokensReread = 0; ///< Only in another engine's memory.
+
+  friend bool operator==(const DispatcherTotals &,
+                         const DispatcherTotals &) = default;
+};
+
 /// Queue, placement and refusal for one model service. Workspaces get equal
 /// service (start-time fair queueing over tokens); inside a workspace requests
 /// that can still meet their target go first, by the time left for it. A
@@ -75,8 +102,7 @@
 
   void setOptions(const DispatcherOptions &Options) { m_options = Options; }
   /// Takes over the service's usable replicas.
-  void setReplicas(const std::vector<Replica *> &Usable, const Service &Traits,
-                   TimePoint Now);
+  void setReplicas(const std::vector<Replica *> &Usable, const Service &Traits);
 
   /// Queues a request, or refuses it at once.
   std::optional<ModelDecision> offer(ModelRequest Request, TimePoint Now);
@@ -93,6 +119,10 @@
 
   [[nodiscard]] std::size_t queued() const { return m_queued; }
   [[nodiscard]] std::size_t running() const { return m_placedAt.size(); }
+  [[nodiscard]] const DispatcherTotals &totals() const { return m_totals; }
+  /// Rate, overhead, requests and backlog of some engines, for logs.
+  [[nodiscard]] std::string describeEngines() const;
+  [[nodiscard]] double load() const { return m_load; }
   [[nodiscard]] const EngineEstimate *engine(const ReplicaId &Id) const;
 
 private:
@@ -111,8 +141,7 @@
     ReplicaHealth Health{};
     TimePoint ColdUntil{};
     std::int64_t BornMillis = 0;
-    double ColdAllowance = 1.0; ///< Requests that may be sent while cold.
-    TimePoint ColdRefilled{};
+    ColdAllowance Cold{};
     bool Usable = true; ///< Kept for its requests when false.
   };
   struct Choice {
@@ -124,9 +153,11 @@
   };
 
   [[nodiscard]] Choice choose(const Item &Wanted, TimePoint Now);
+  [[nodiscard]] Duration costOf(const Item &Wanted, const Engine &At,
+                                TimePoint Now, Duration &FirstToken) const;
+  void updateLoad(TimePoint Now);
   [[nodiscard]] bool takes(Engine &Each, const Item &Wanted,
                            TimePoint Now) const;
-  void refillCold(Engine &Each, TimePoint Now) const;
   [[nodiscard]] double tokensPerMs(TimePoint Now) const;
   [[nodiscard]] Duration expectedWait(const Queue &Of, double Tokens,
                                       TimePoint Now) const;
@@ -141,11 +172,13 @@
   void forgetReturns(TimePoint Now);
 
   DispatcherOptions m_options;
+  DispatcherTotals m_totals;
   Random m_random;
   double m_coldPerSecond = 0.0;
   std::map<ReplicaId, Engine> m_engines;
   std::map<std::string, Queue> m_queues; ///< By workspace.
   std::size_t m_queued = 0;              ///< Items in all queues.
+  double m_load = 0.0; ///< Share of the engines that are busy reading.
   double m_virtualTime = 0.0; ///< Served of the queue placed from last.
   std::unordered_map<RequestKey, ReplicaId> m_placedAt;
   /// Refused requests by their own prompt part, and until when they count as
--- a/include/nutmegdrift/routing/replica_table.h
+++ b/include/nutmegdrift/routing/replica_table.h
@@ -5,6 +5,7 @@
 
 #include "nutmegdrift/base/clock.h"
 #include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/routing/cold_allowance.h"
 
 #include <map>
 #include <set>
@@ -78,6 +79,7 @@
   TimePoint ColdUntil{};
   ReplicaHealth Health{};
   unsigned InFlight = 0; ///< Requests of this daemon.
+  ColdAllowance Cold{};  ///< For requests that need no dispatcher.
 };
 
 /// All replicas by id. Not thread-safe.
@@ -120,10 +122,18 @@
   std::uint64_t m_generation = 0;
 };
 
+/// What bounds a choice of pickLeastUsed.
+struct PickLimits {
+  std::set<ReplicaId> Tried{}; ///< Left out.
+  /// Requests a second that this daemon may send to a cold replica; negative:
+  /// no limit.
+  double ColdPerSecond = -1.0;
+};
+
 /// Picks a replica of a plain service: the least used one of this daemon's
-/// requests that is healthy. Tried replicas are left out. Null if none is left.
+/// requests that is healthy. Null if none is left.
 Replica *pickLeastUsed(const std::vector<Replica *> &Usable,
-                       const std::set<ReplicaId> &Tried, TimePoint Now,
+                       const PickLimits &Limits, TimePoint Now,
                        std::uint64_t Draw);
 
 } // namespace nutmegdrift::routing
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -205,9 +205,17 @@
 }
 
 void Call::choosePlainReplica() {
+  const TimePoint Now = m_env.Clk.now();
+  const routing::Service *Of = service();
+  routing::PickLimits Limits{.Tried = m_tried};
+  if (Of && Of->ColdPerSecond > 0)
+    Limits.ColdPerSecond =
+        Of->ColdPerSecond *
+        routing::coldShare(false, m_env.Daemons(), Now - m_env.Started,
+                           hashText(m_env.Settings.Name, hashText(m_service)));
   const routing::Replica *Chosen =
-      routing::pickLeastUsed(m_env.State.Replicas.usable(m_service), m_tried,
-                             m_env.Clk.now(), m_env.Rng());
+      routing::pickLeastUsed(m_env.State.Replicas.usable(m_service), Limits,
+                             Now, m_env.Rng());
   if (Chosen) {
     send(Chosen->Record.Id);
     return;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -61,7 +61,8 @@
               .Metrics = m_metrics,
               .Rng = m_random,
               .Budgets = m_budgets,
-              .Daemons = [this] { return daemons(); }},
+              .Daemons = [this] { return daemons(); },
+              .Started = Clk.now()},
       m_front(Loop, Clk,
               [this](std::shared_ptr<net::ServerExchange> Exchange) {
                 onRequest(Exchange);
@@ -92,6 +93,7 @@
     if (!Server->listen(*Address))
       return fail(ErrorKind::InvalidSettings,
                   "can't listen on " + toString(*Address));
+  m_placement.setOptions(m_settings.Dispatch);
   m_beacon.setSeeds(m_settings.Seeds);
   if (!m_beacon.start() || !m_placement.start())
     return fail(ErrorKind::InvalidSettings,
@@ -106,6 +108,8 @@
 
 void Gateway::reload(const GatewaySettings &Settings) {
   m_settings.Bounds = Settings.Bounds;
+  m_settings.Dispatch = Settings.Dispatch;
+  m_placement.setOptions(m_settings.Dispatch);
   m_settings.Seeds = Settings.Seeds;
   m_beacon.setSeeds(m_settings.Seeds);
   m_log.line(LogClass::Belief, "settings.reloaded",
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -168,7 +168,7 @@
 
 Placement::Placement(Environment Env)
     : m_env(std::move(Env)), m_acceptor(m_env.Loop), m_pumpTimer(m_env.Loop),
-      m_lookTimer(m_env.Loop) {}
+      m_lookTimer(m_env.Loop), m_started(m_env.Clk.now()) {}
 
 Placement::~Placement() = default;
 
@@ -219,7 +219,7 @@
 
 void Placement::setReplicas(const routing::Service &Of,
                             const std::vector<routing::Replica *> &Usable) {
-  dispatcher(Of.Name).setReplicas(Usable, Of, m_env.Clk.now());
+  dispatcher(Of.Name).setReplicas(Usable, Of);
   schedulePump();
 }
 
@@ -236,8 +236,12 @@
   const std::size_t Daemons = std::max<std::size_t>(m_env.Candidates().size(), 1);
   for (auto &[Service, Each] : m_dispatchers) {
     routing::DispatcherOptions Options = m_options;
-    if (dispatcherOf(Service) != m_env.Self)
+    const bool Dispatches = dispatcherOf(Service) == m_env.Self;
+    if (!Dispatches)
       Options.Share = 1.0 / static_cast<double>(Daemons);
+    Options.ColdShare =
+        routing::coldShare(Dispatches, Daemons, m_env.Clk.now() - m_started,
+                           hashText(m_env.Self, hashText(Service)));
     Each.setOptions(Options);
   }
 }
@@ -386,6 +390,10 @@
     if (const DaemonName At = dispatcherOf(Service);
         !At.empty() && At != m_env.Self)
       linkTo(At);
+  if (Now - m_lastSummary >= SummaryInterval) {
+    m_lastSummary = Now;
+    logSummary();
+  }
   if (Now - m_lastAlive < AliveInterval)
     return;
   m_lastAlive = Now;
@@ -394,6 +402,27 @@
       From->send(DispatcherAlive{});
 }
 
+void Placement::logSummary() {
+  for (const auto &[Service, Each] : m_dispatchers) {
+    if (dispatcherOf(Service) != m_env.Self)
+      continue;
+    const routing::DispatcherTotals &Totals = Each.totals();
+    m_env.Log.line(
+        LogClass::Belief, "dispatcher.summary",
+        {{"service", Service},
+         {"placed", std::to_string(Totals.Placed)},
+         {"refused", std::to_string(Totals.Refused)},
+         {"late", std::to_string(Totals.Late)},
+         {"queued", std::to_string(Each.queued())},
+         {"running", std::to_string(Each.running())},
+         {"load", std::to_string(Each.load())},
+         {"tokens_read", std::to_string(Totals.TokensRead)},
+         {"tokens_known", std::to_string(Totals.TokensKnown)},
+         {"tokens_reread", std::to_string(Totals.TokensReread)},
+         {"engines", Each.describeEngines()}});
+  }
+}
+
 void Placement::takeBack(const DaemonName &From) {
   std::vector<RequestKey> Waiting;
   for (const auto &[Key, Each] : m_own)
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -85,6 +85,29 @@
   };
 }
 
+routing::DispatcherOptions dispatchOf(const YAML::Node &Node) {
+  routing::DispatcherOptions Out;
+  if (!Node)
+    return Out;
+  auto Time = [&](const char *Name, Duration Default) {
+    const double Millis = valueOr<double>(
+        Node, Name,
+        std::chrono::duration<double, std::milli>(Default).count());
+    if (!(Millis >= 0.0))
+      bad(Node[Name], Name, "must be 0 or more");
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(Millis));
+  };
+  Out.TargetBacklog = Time("target_backlog_ms", Out.TargetBacklog);
+  Out.ReadingDuty = fraction(Node, "reading_duty", Out.ReadingDuty);
+  Out.RereadCost = Time("reread_cost_ms", Out.RereadCost);
+  Out.LateCost = Time("late_cost_ms", Out.LateCost);
+  Out.WaitWeight = fraction(Node, "wait_weight", Out.WaitWeight);
+  Out.TargetShare = fraction(Node, "target_share", Out.TargetShare);
+  Out.LateWait = Time("late_wait_ms", Out.LateWait);
+  return Out;
+}
+
 GatewaySettings settingsOf(const YAML::Node &Root) {
   if (!Root.IsMap())
     throw BadSetting{"settings: not a map"};
@@ -105,6 +128,7 @@
           static_cast<unsigned>(positive(Root, "memory_mb", 256)),
       .Descriptors = static_cast<unsigned>(positive(Root, "descriptors", 1024)),
       .Bounds = boundsOf(Root["bounds"]),
+      .Dispatch = dispatchOf(Root["dispatch"]),
   };
   if (const YAML::Node Seeds = Root["seeds"]; Seeds && Seeds.IsSequence())
     for (const YAML::Node &Each : Seeds) {
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -1,1 +1,293 @@
-// placeholder
+// Tests of the HTTP readers and of client and server on real sockets.
+#include "nutmegdrift/net/client_connection.h"
+#include "nutmegdrift/net/http_server.h"
+
+#include <gtest/gtest.h>
+
+namespace nutmegdrift::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(RequestReader, StopsAtTheEndOfTheMessage) {
+  RequestReader Reader({});
+  const std::string Two = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                          "\r\nabcGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::size_t Used = Reader.put(Two);
+  ASSERT_TRUE(Reader.done());
+  EXPECT_EQ(Two.substr(Used, 6), "GET /b");
+  EXPECT_EQ(Reader.take().Body, "abc");
+}
+
+TEST(RequestReader, RefusesTwoFramings) {
+  // A request with a length and chunks may be read differently by a replica,
+  // which would let a second request through.
+  RequestReader Reader({});
+  Reader.put("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  EXPECT_EQ(Reader.error(), HttpParseError::Malformed);
+}
+
+TEST(RequestReader, NamesTheLimitThatWasBroken) {
+  RequestReader Header({.MaxHeaderBytes = 128});
+  Header.put("GET / HTTP/1.1\r\nA: " + std::string(200, 'x') + "\r\n\r\n");
+  EXPECT_EQ(Header.error(), HttpParseError::HeaderTooLarge);
+  RequestReader Body({.MaxBodyBytes = 10});
+  Body.put("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+  EXPECT_EQ(Body.error(), HttpParseError::BodyTooLarge);
+}
+
+TEST(HeaderList, DropsFieldsNamedByConnection) {
+  const HeaderList Received{{"Connection", "close, X-Hop"},
+                            {"X-Hop", "1"},
+                            {"Keep-Alive", "timeout=5"},
+                            {"X-End", "2"}};
+  const HeaderList Kept = endToEndFields(Received);
+  ASSERT_EQ(Kept.all().size(), 1U);
+  EXPECT_EQ(Kept.all()[0].Name, "X-End");
+}
+
+/// A server whose bytes the test chooses.
+class RawServer final : public ByteStream::Listener {
+public:
+  explicit RawServer(EventLoop &Loop)
+      : m_acceptor(Loop,
+                   boost::asio::ip::tcp::endpoint(
+                       boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    m_acceptor.async_accept([this](const boost::system::error_code &Failed,
+                                   TcpSocket Socket) {
+      if (Failed)
+        return;
+      m_stream = std::make_shared<ByteStream>(std::move(Socket), *this);
+      m_stream->startReading();
+    });
+  }
+  void onData(std::string_view Data) override {
+    Received.append(Data);
+    if (OnRequest)
+      OnRequest();
+  }
+  void onEnd(StreamEnd) override {}
+  ByteStream &stream() { return *m_stream; }
+  HostPort address() const {
+    return {.Host = "127.0.0.1", .Port = m_acceptor.local_endpoint().port()};
+  }
+
+  std::string Received;
+  std::function<void()> OnRequest;
+
+private:
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  std::shared_ptr<ByteStream> m_stream;
+};
+
+struct ClientFixture : ::testing::Test {
+  ClientConnection::Events events() {
+    return {.Accept =
+                [](const HttpAnswerHead &Head) {
+                  return Head.Headers.find("Id") == "mine";
+                },
+            .OnHead = [this](const HttpAnswerHead &Head) { Status = Head.Status; },
+            .OnBody = [this](std::string_view Part) { Body.append(Part); },
+            .OnEnd =
+                [this] {
+                  Ended = true;
+                  Loop.stop();
+                },
+            .OnFailure =
+                [this](ClientFailure Why) {
+                  Failure = Why;
+                  Loop.stop();
+                }};
+  }
+  void run() { Loop.run_for(5s); }
+
+  EventLoop Loop{1};
+  SystemClock Clk;
+  RawServer Server{Loop};
+  std::shared_ptr<ClientConnection> Client =
+      std::make_shared<ClientConnection>(Loop, Clk, Server.address());
+  int Status = 0;
+  std::string Body;
+  bool Ended = false;
+  std::optional<ClientFailure> Failure;
+};
+
+TEST_F(ClientFixture, ReadsChunksThatAreCutAnywhere) {
+  // Streams were cut when half a chunk header came alone.
+  const std::string Answer = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+  std::size_t Sent = 0;
+  Timer Next(Loop);
+  std::function<void()> SendOne = [&] {
+    if (Sent == Answer.size())
+      return;
+    Server.stream().write(Answer.substr(Sent++, 1));
+    Next.callAfter(100us, SendOne);
+  };
+  Server.OnRequest = [&] { SendOne(); };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_TRUE(Ended);
+  EXPECT_EQ(Body, "hello world");
+}
+
+TEST_F(ClientFixture, SkipsAnswersOfOtherRequests) {
+  Server.OnRequest = [&] {
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: late\r\nContent-Length: "
+                          "5\r\n\r\nwrongHTTP/1.1 200 OK\r\nId: "
+                          "mine\r\nContent-Length: 5\r\n\r\nright");
+  };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_TRUE(Ended);
+  EXPECT_EQ(Body, "right");
+  EXPECT_TRUE(Client->reusable());
+}
+
+TEST_F(ClientFixture, BytesAfterAWholeAnswerEndTheConnection) {
+  Server.OnRequest = [&] {
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: "
+                          "2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n");
+  };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_TRUE(Ended);
+  EXPECT_EQ(Body, "ok");
+  EXPECT_FALSE(Client->reusable());
+}
+
+TEST_F(ClientFixture, AnAnswerWithoutLengthEndsWithAnOrderlyCloseOnly) {
+  Server.OnRequest = [&] {
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\n\r\npart");
+    Timer *Later = new Timer(Loop);
+    Later->callAfter(20ms, [&, Later] {
+      Server.stream().reset();
+      delete Later;
+    });
+  };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_FALSE(Ended);
+  EXPECT_EQ(Failure, ClientFailure::Reset);
+}
+
+TEST_F(ClientFixture, ATruncatedAnswerFails) {
+  Server.OnRequest = [&] {
+    Server.stream().write(
+        "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 9\r\n\r\nshort");
+    Server.stream().finishWriting();
+  };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_EQ(Failure, ClientFailure::Closed);
+}
+
+TEST_F(ClientFixture, NoListenerIsAConnectFailure) {
+  auto Nobody = std::make_shared<ClientConnection>(
+      Loop, Clk, HostPort{.Host = "127.0.0.1", .Port = 1});
+  Nobody->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_EQ(Failure, ClientFailure::ConnectFailed);
+}
+
+struct ServerFixture : ::testing::Test {
+  ServerFixture() {
+    EXPECT_TRUE(Server.listen({.Host = "127.0.0.1", .Port = 0}));
+    Caller.connect({.Host = "127.0.0.1", .Port = Server.port()});
+  }
+  /// What the caller got until its connection ended or Enough was there.
+  std::string talk(const std::string &Bytes, std::string_view Enough = "") {
+    Caller.Got.clear();
+    Caller.Stream->write(Bytes);
+    const auto End = std::chrono::steady_clock::now() + 5s;
+    while (!Caller.Ended && std::chrono::steady_clock::now() < End &&
+           (Enough.empty() || Caller.Got.find(Enough) == std::string::npos))
+      Loop.run_one_for(50ms);
+    return Caller.Got;
+  }
+
+  struct RawCaller final : ByteStream::Listener {
+    explicit RawCaller(EventLoop &Loop)
+        : Stream(std::make_shared<ByteStream>(Loop, *this)) {}
+    void connect(const HostPort &To) { Stream->connect(To, 1s); }
+    void onData(std::string_view Data) override { Got.append(Data); }
+    void onEnd(StreamEnd) override { Ended = true; }
+    std::shared_ptr<ByteStream> Stream;
+    std::string Got;
+    bool Ended = false;
+  };
+
+  EventLoop Loop{1};
+  SystemClock Clk;
+  std::vector<std::shared_ptr<ServerExchange>> Exchanges;
+  HttpServer Server{Loop, Clk, [this](std::shared_ptr<ServerExchange> Each) {
+                      Exchanges.push_back(Each);
+                      if (Answer)
+                        Answer(*Each);
+                    }};
+  std::function<void(ServerExchange &)> Answer;
+  RawCaller Caller{Loop};
+};
+
+TEST_F(ServerFixture, AnswersPipelinedRequestsInOrder) {
+  Answer = [](ServerExchange &Each) {
+    Each.answer(200, {}, Each.request().Target);
+  };
+  const std::string Got =
+      talk("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: "
+           "h\r\n\r\n",
+           "/2");
+  EXPECT_LT(Got.find("/1"), Got.find("/2"));
+  EXPECT_NE(Got.find("/2"), std::string::npos);
+}
+
+TEST_F(ServerFixture, ARefusalOfALargeBodyArrives) {
+  // Closing with unread bytes resets the connection and loses the refusal.
+  Server.setOptions({.Limits = {.MaxBodyBytes = 1000}});
+  auto Fresh = std::make_shared<ByteStream>(Loop, Caller);
+  Caller.Stream->close();
+  Caller.Stream = Fresh;
+  Caller.connect({.Host = "127.0.0.1", .Port = Server.port()});
+  const std::string Body(std::size_t{600} * 1024, 'x');
+  const std::string Got =
+      talk("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  EXPECT_EQ(Got.substr(0, 12), "HTTP/1.1 413");
+}
+
+TEST_F(ServerFixture, AnAbortedAnswerNeverLooksComplete) {
+  Answer = [](ServerExchange &Each) {
+    Each.begin(200, {}, std::nullopt);
+    Each.write("part");
+    Each.abort();
+  };
+  const std::string Got = talk("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(Caller.Ended);
+  EXPECT_EQ(Got.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ServerFixture, SeesThatTheCallerLeft) {
+  bool Gone = false;
+  Answer = [&](ServerExchange &Each) {
+    Each.OnCallerGone = [&] { Gone = true; };
+    Caller.Stream->close();
+    Caller.Ended = true;
+  };
+  talk("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto End = std::chrono::steady_clock::now() + 5s;
+  while (!Gone && std::chrono::steady_clock::now() < End)
+    Loop.run_one_for(50ms);
+  EXPECT_TRUE(Gone);
+  EXPECT_EQ(Server.activeRequests(), 0U);
+}
+
+TEST_F(ServerFixture, DrainingAsksTheCallerToClose) {
+  Answer = [](ServerExchange &Each) { Each.answer(200, {}, "ok"); };
+  Server.startDraining();
+  const std::string Got = talk("GET / HTTP/1.1\r\nHost: h\r\n\r\n", "ok");
+  EXPECT_NE(Got.find("Connection: close"), std::string::npos);
+}
+
+} // namespace
+} // namespace nutmegdrift::net
--- a/src/nutmegdrift/routing/engine_estimate.cpp
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -13,6 +13,10 @@
   return std::chrono::duration<double, std::milli>(Time).count();
 }
 
+/// From the end of a prompt to its first event on an engine that reads no other
+/// prompt.
+constexpr Duration FirstEventTime = std::chrono::milliseconds(20);
+
 Duration fromMs(double Millis) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(Millis));
@@ -39,10 +43,14 @@
                             std::uint32_t PromptTokens,
                             std::uint32_t OutputTokens, TimePoint Now) {
   const std::uint32_t Known = std::min(cachedTokens(Prefix), PromptTokens);
+  const Duration Reading = timeToRead(PromptTokens - Known);
+  m_readingAllowance -= Reading;
+  if (m_waiting.empty())
+    m_busySince = Now;
   m_waiting.push_back({.Key = Key,
                        .Tokens = PromptTokens - Known,
                        .Placed = Now,
-                       .Alone = m_waiting.empty()});
+                       .Predicted = backlog(Now) + Reading});
   const std::uint64_t Held = std::uint64_t{PromptTokens} + OutputTokens;
   m_requests[Key] = Held;
   m_heldTokens += Held;
@@ -55,30 +63,48 @@
                    [&](const Waiting &Each) { return Each.Key == Key; });
   if (Found == m_waiting.end())
     return;
-  learn(*Found, Now);
+  learnOverhead(*Found, Now);
+  m_busyTokens += Found->Tokens;
   m_lastStart = Now;
   // Prompts are read in order of arrival, so those before it are read too.
-  for (auto Before = m_waiting.begin(); Before != Found; ++Before)
+  for (auto Before = m_waiting.begin(); Before != Found; ++Before) {
+    m_busyTokens += Before->Tokens;
     Before->Tokens = 0;
+  }
   m_waiting.erase(Found);
+  learnRate(Now);
 }
 
-void EngineEstimate::learn(const Waiting &Done, TimePoint Now) {
-  const double Took = toMs(Now - std::max(Done.Placed, m_lastStart));
-  if (Done.Tokens < RateSampleTokens) {
-    if (Done.Alone) {
-      const double Overhead = Took - static_cast<double>(Done.Tokens) / m_rate;
-      m_overhead += fromMs(OverheadSmoothing *
-                           (std::max(Overhead, 0.0) - toMs(m_overhead)));
-    }
-    return;
+void EngineEstimate::learnOverhead(const Waiting &Done, TimePoint Now) {
+  const double Late =
+      std::max(toMs(Now - Done.Placed - Done.Predicted), 0.0);
+  m_overhead += fromMs(OverheadSmoothing * (Late - toMs(m_overhead)));
+}
+
+void EngineEstimate::learnRate(TimePoint Now) {
+  Duration Busy = m_busyTime + (Now - m_busySince);
+  if (m_waiting.empty()) {
+    // The engine made the first event of the last prompt without reading.
+    Busy -= std::min(Busy, FirstEventTime);
+    m_busyTime = Busy;
+    m_busySince = Now;
   }
-  // The overhead of a prompt that waited overlaps the one before it.
-  const double Reading = Done.Alone ? Took - toMs(m_overhead) : Took;
-  const double Sample =
-      static_cast<double>(Done.Tokens) / std::max(Reading, 1.0);
+  if (Busy < RateSampleTime)
+    return;
+  const double Sample = static_cast<double>(m_busyTokens) / toMs(Busy);
   m_rate += RateSmoothing *
             (std::clamp(Sample, LowestRate, HighestRate) - m_rate);
+  m_busyTime = Duration{0};
+  m_busySince = Now;
+  m_busyTokens = 0;
+}
+
+void EngineEstimate::refillReading(double Duty, TimePoint Now) {
+  if (m_readingRefilled != TimePoint{})
+    m_readingAllowance =
+        std::min(m_readingAllowance + fromMs(Duty * toMs(Now - m_readingRefilled)),
+                 ReadingBurst);
+  m_readingRefilled = Now;
 }
 
 void EngineEstimate::ended(RequestKey Key, TimePoint Now) {
@@ -95,12 +121,8 @@
   if (Found == m_waiting.begin())
     m_lastStart = Now;
   m_waiting.erase(Found);
-}
-
-void EngineEstimate::forgetMemory() {
-  m_cache.clear();
-  m_uses.clear();
-  m_cachedTokens = 0;
+  if (m_waiting.empty())
+    m_busyTime += Now - m_busySince;
 }
 
 TimePoint EngineEstimate::headBegan() const {
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -10,9 +10,6 @@
 
 /// Items of one workspace that are tried before the next workspace's turn.
 constexpr std::size_t ItemsTried = 3;
-/// Part of the bearable rate that a cold replica gets, so that messages under
-/// way and clocks that differ stay inside it.
-constexpr double ColdMargin = 0.8;
 /// A refused request counts as returning for this long after its time.
 constexpr Duration ReturnWindow = std::chrono::seconds(2);
 /// Refused requests remembered; older ones are dropped first.
@@ -20,10 +17,20 @@
 /// Part of the prompts' overdue time that is added to a replica's cost, so that
 /// a replica that has gone silent loses its requests to others.
 constexpr double OverdueWeight = 1.0;
+/// Weight of the newest look in the moving share of busy engines.
+constexpr double LoadSmoothing = 0.05;
+/// Engine time is never free.
+constexpr double LeastLoad = 0.2;
 /// A large prompt that can't be read within the target gets this much beyond
 /// its own reading time.
 constexpr Duration LargePromptSlack = std::chrono::milliseconds(250);
 
+/// What a request is worth grows with its size; an output token counts more
+/// than a prompt token.
+double sizeOf(const ModelRequest &Request) {
+  return Request.PromptTokens + 10.0 * Request.OutputTokens;
+}
+
 double costInTokens(const ModelRequest &Request) {
   // An output token takes about as much engine time as two prompt tokens.
   return static_cast<double>(Request.PromptTokens) +
@@ -44,7 +51,7 @@
     : m_options(Options), m_random(Seed) {}
 
 void ModelDispatcher::setReplicas(const std::vector<Replica *> &Usable,
-                                  const Service &Traits, TimePoint Now) {
+                                  const Service &Traits) {
   m_coldPerSecond = Traits.ColdPerSecond;
   for (auto &[Id, Each] : m_engines)
     Each.Usable = false;
@@ -65,8 +72,7 @@
                   .emplace(Each->Record.Id,
                            ModelDispatcher::Engine{
                                .Estimate = EngineEstimate(Engine, Rate),
-                               .BornMillis = Each->Record.BornMillis,
-                               .ColdRefilled = Now})
+                               .BornMillis = Each->Record.BornMillis})
                   .first;
     Found->second.Usable = true;
     Found->second.ColdUntil = Each->ColdUntil;
@@ -81,15 +87,6 @@
   return Found == m_engines.end() ? nullptr : &Found->second.Estimate;
 }
 
-void ModelDispatcher::refillCold(Engine &Each, TimePoint Now) const {
-  const double Rate = m_coldPerSecond * ColdMargin * m_options.Share;
-  const double Elapsed =
-      std::chrono::duration<double>(Now - Each.ColdRefilled).count();
-  Each.ColdRefilled = Now;
-  Each.ColdAllowance =
-      std::min(Each.ColdAllowance + Rate * Elapsed, std::max(1.0, Rate / 8));
-}
-
 bool ModelDispatcher::takes(Engine &Each, const Item &Wanted,
                             TimePoint Now) const {
   const EngineEstimate &Estimate = Each.Estimate;
@@ -107,15 +104,59 @@
   if (Memory > 0 && Needed > Memory && Estimate.requests() > 0)
     return false;
   if (Now < Each.ColdUntil && m_coldPerSecond > 0) {
-    refillCold(Each, Now);
-    if (Each.ColdAllowance < 1.0)
+    Each.Cold.refill(m_coldPerSecond * m_options.ColdShare, Now);
+    if (!Each.Cold.open())
       return false;
   }
+  if (Estimate.readingSpent())
+    return false;
   return Estimate.waiting() == 0 ||
          Estimate.backlog(Now) < scaled(m_options.TargetBacklog,
                                         m_options.Share);
 }
 
+void ModelDispatcher::updateLoad(TimePoint Now) {
+  std::size_t Busy = 0;
+  std::size_t Count = 0;
+  for (auto &[Id, Each] : m_engines) {
+    Each.Estimate.refillReading(m_options.ReadingDuty * m_options.Share, Now);
+    if (!Each.Usable || Each.Health.out(Now))
+      continue;
+    ++Count;
+    Busy += Each.Estimate.waiting() > 0 || Each.Estimate.readingSpent() ? 1 : 0;
+  }
+  const double Load =
+      Count == 0 ? 1.0
+                 : static_cast<double>(Busy) / static_cast<double>(Count);
+  m_load += LoadSmoothing * (Load - m_load);
+}
+
+Duration ModelDispatcher::costOf(const Item &Wanted, const Engine &At,
+                                 TimePoint Now, Duration &FirstToken) const {
+  const ModelRequest &Request = Wanted.Request;
+  const EngineEstimate &Estimate = At.Estimate;
+  const std::uint32_t Shared =
+      std::min(Wanted.Prefix.tokens(), Request.PromptTokens);
+  const std::uint32_t Known =
+      std::min(Estimate.cachedTokens(Wanted.Prefix), Shared);
+  const Duration Own = Estimate.timeToRead(Request.PromptTokens - Known);
+  const Duration Waiting =
+      scaled(Estimate.backlog(Now), 1.0 / m_options.Share) +
+      scaled(Estimate.overdue(Now), OverdueWeight);
+  FirstToken = Waiting + Own + Estimate.overhead();
+  const Duration Left =
+      scaled(Request.FirstTokenTarget, m_options.TargetShare) -
+      (Now - Request.Arrived);
+  Duration Cost =
+      scaled(Waiting, m_options.WaitWeight) +
+      scaled(Own, std::max(m_load, LeastLoad)) +
+      scaled(m_options.RereadCost, (Shared - Known) / 1000.0) +
+      std::chrono::microseconds(200) * Estimate.requests();
+  if (FirstToken > Left)
+    Cost += scaled(m_options.LateCost, sizeOf(Request) / 1000.0);
+  return Cost;
+}
+
 ModelDispatcher::Choice ModelDispatcher::choose(const Item &Wanted,
                                                 TimePoint Now) {
   Choice Best;
@@ -126,39 +167,45 @@
     const bool Out = Each.Health.out(Now);
     if (Out && !BestOut)
       continue;
-    const EngineEstimate &Estimate = Each.Estimate;
-    const std::uint32_t Known = std::min(Estimate.cachedTokens(Wanted.Prefix),
-                                         Wanted.Request.PromptTokens);
-    const Duration Own =
-        Estimate.timeToRead(Wanted.Request.PromptTokens - Known);
-    const Duration Waiting =
-        scaled(Estimate.backlog(Now), 1.0 / m_options.Share) +
-        scaled(Estimate.overdue(Now), OverdueWeight);
-    const Duration Reread =
-        Estimate.timeToRead(Wanted.Prefix.tokens() -
-                            std::min(Known, Wanted.Prefix.tokens()));
-    const Duration Cost =
-        Waiting + Own + scaled(Reread, m_options.RereadWeight) +
-        std::chrono::microseconds(200) * Estimate.requests();
+    Duration FirstToken{0};
+    const Duration Cost = costOf(Wanted, Each, Now, FirstToken);
     if (Best.Where && Out == BestOut && Cost >= Best.Cost)
       continue;
     BestOut = Out;
-    Best = {.Where = &Each,
-            .Id = &Id,
-            .Cost = Cost,
-            .FirstToken = Waiting + Own + Estimate.overhead()};
+    Best = {.Where = &Each, .Id = &Id, .Cost = Cost, .FirstToken = FirstToken};
   }
   if (Best.Where)
     Best.Now = takes(*Best.Where, Wanted, Now);
   return Best;
 }
 
+std::string ModelDispatcher::describeEngines() const {
+  constexpr std::size_t Described = 4;
+  std::string Out;
+  std::size_t Count = 0;
+  for (const auto &[Id, Each] : m_engines) {
+    if (!Each.Usable)
+      continue;
+    if (Count++ == Described)
+      break;
+    const EngineEstimate &Estimate = Each.Estimate;
+    const auto Overhead =
+        std::chrono::duration_cast<Milliseconds>(Estimate.overhead());
+    Out += (Out.empty() ? "" : " ") + Id + ":" +
+           std::to_string(static_cast<int>(Estimate.tokensPerMs())) + "/ms," +
+           std::to_string(Overhead.count()) + "ms," +
+           std::to_string(Estimate.requests()) + "," +
+           std::to_string(Estimate.waiting());
+  }
+  return Out;
+}
+
 double ModelDispatcher::tokensPerMs(TimePoint Now) const {
   double Sum = 0.0;
   for (const auto &[Id, Each] : m_engines)
     if (Each.Usable && !Each.Health.out(Now))
       Sum += Each.Estimate.tokensPerMs();
-  return std::max(Sum * m_options.Share, EngineEstimate::LowestRate);
+  return std::max(Sum * m_options.Share * m_options.ReadingDuty, EngineEstimate::LowestRate);
 }
 
 Duration ModelDispatcher::expectedWait(const Queue &Of, double Tokens,
@@ -221,6 +268,7 @@
   const auto Back = std::clamp(
       std::chrono::duration_cast<Milliseconds>(scaled(Wait, Spread)),
       m_options.ShortestRetry, m_options.LongestRetry);
+  ++m_totals.Refused;
   if (const std::uint64_t Part = ownPart(Refused.Request)) {
     forgetReturns(Now);
     m_toldToReturn[Part] = Now + Back + ReturnWindow;
@@ -250,11 +298,22 @@
 
 void ModelDispatcher::place(const Item &Placed, const Choice &Where,
                             TimePoint Now) {
+  const std::uint32_t Known = Where.Where->Estimate.cachedTokens(Placed.Prefix);
+  std::uint32_t Anywhere = Known;
+  for (const auto &[Id, Each] : m_engines)
+    Anywhere = std::max(Anywhere, Each.Estimate.cachedTokens(Placed.Prefix));
+  ++m_totals.Placed;
+  m_totals.TokensKnown += Known;
+  m_totals.TokensReread += Anywhere - Known;
+  m_totals.TokensRead += Placed.Request.PromptTokens - Known;
+  if (Now - Placed.Request.Arrived + Where.FirstToken >
+      Placed.Request.FirstTokenTarget)
+    ++m_totals.Late;
   Where.Where->Estimate.placed(Placed.Request.Key, Placed.Prefix,
                                Placed.Request.PromptTokens,
                                Placed.Request.OutputTokens, Now);
   if (Now < Where.Where->ColdUntil && m_coldPerSecond > 0)
-    Where.Where->ColdAllowance -= 1.0;
+    Where.Where->Cold.take();
   m_placedAt[Placed.Request.Key] = *Where.Id;
 }
 
@@ -323,6 +382,7 @@
 
 std::vector<ModelDecision> ModelDispatcher::pump(TimePoint Now) {
   std::vector<ModelDecision> Out;
+  updateLoad(Now);
   if (m_queued == 0)
     return Out;
   // Requests that can still meet their target first; late ones use what is
--- a/src/nutmegdrift/routing/replica_table.cpp
+++ b/src/nutmegdrift/routing/replica_table.cpp
@@ -142,7 +142,7 @@
 }
 
 Replica *pickLeastUsed(const std::vector<Replica *> &Usable,
-                       const std::set<ReplicaId> &Tried, TimePoint Now,
+                       const PickLimits &Limits, TimePoint Now,
                        std::uint64_t Draw) {
   // Replicas that are out come last, so that a service of which all replicas
   // fail is still tried.
@@ -151,10 +151,23 @@
     return std::make_tuple(Each.Health.out(Now) || Busy, Each.InFlight,
                            hashText(Each.Record.Id, Draw));
   };
+  auto Cold = [&](const Replica &Each) {
+    return Limits.ColdPerSecond >= 0.0 && Now < Each.ColdUntil;
+  };
   Replica *Best = nullptr;
-  for (Replica *Each : Usable)
-    if (!Tried.contains(Each->Record.Id) && (!Best || Rank(*Each) < Rank(*Best)))
+  for (Replica *Each : Usable) {
+    if (Limits.Tried.contains(Each->Record.Id))
+      continue;
+    if (Cold(*Each)) {
+      Each->Cold.refill(Limits.ColdPerSecond, Now);
+      if (!Each->Cold.open())
+        continue;
+    }
+    if (!Best || Rank(*Each) < Rank(*Best))
       Best = Each;
+  }
+  if (Best && Cold(*Best))
+    Best->Cold.take();
   return Best;
 }
 
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -1,1 +1,348 @@
-// placeholder
+// Tests of lookups, replica records, engine estimates and the dispatcher.
+#include "nutmegdrift/routing/model_dispatcher.h"
+
+#include <gtest/gtest.h>
+
+namespace nutmegdrift::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+TEST(RoutingTable, PicksTheLongestPrefixOfTheHost) {
+  const RoutingTable Table({.Version = 1,
+                            .Routes = {{.Name = "short",
+                                        .Host = "a.example",
+                                        .PathPrefix = "/x/",
+                                        .Shares = {{"s", 1}}},
+                                       {.Name = "long",
+                                        .Host = "a.example",
+                                        .PathPrefix = "/x/y/",
+                                        .Shares = {{"s", 1}}}}});
+  EXPECT_EQ(Table.match("A.example:80", "/x/y/z?q=1")->Name, "long");
+  EXPECT_EQ(Table.match("a.example", "/x/z")->Name, "short");
+  EXPECT_EQ(Table.match("b.example", "/x/z"), nullptr);
+  EXPECT_EQ(Table.match("a.example", "/x?/y/"), nullptr);
+}
+
+TEST(RoutingTable, SplitsByWeight) {
+  const Route Where{.Shares = {{"a", 90}, {"b", 10}}};
+  EXPECT_EQ(RoutingTable::pickService(Where, 0.899), "a");
+  EXPECT_EQ(RoutingTable::pickService(Where, 0.901), "b");
+}
+
+ReplicaRecord record(const ReplicaId &Id, const std::string &Zone = "z") {
+  return {.Id = Id,
+          .Service = "s",
+          .Address = {.Host = "127.0.0.1", .Port = 1},
+          .Zone = Zone,
+          .Slots = 4};
+}
+
+TEST(ReplicaTable, KeepsEntriesThatLapsedDuringAnOutage) {
+  // Entries expire while the store is away although their replicas live.
+  ReplicaTable Table;
+  Table.replaceAll({record("a"), record("b")}, Start, false);
+  Table.replaceAll({record("a")}, Start + 1s, true);
+  EXPECT_EQ(Table.usable("s").size(), 2U);
+  Table.upsert(record("b"), Start + 2s);
+  EXPECT_TRUE(Table.expire(Start + 10s).empty());
+  Table.replaceAll({record("a")}, Start + 20s, true);
+  EXPECT_EQ(Table.expire(Start + 20s + ReplicaTable::LapseGrace).size(), 1U);
+  EXPECT_EQ(Table.usable("s").size(), 1U);
+}
+
+TEST(ReplicaTable, LeavesOutDrainingReplicasAndEvacuatedZones) {
+  ReplicaTable Table;
+  ReplicaRecord Leaving = record("a");
+  Leaving.Draining = true;
+  Table.replaceAll({Leaving, record("b", "out"), record("c")}, Start, false);
+  Table.setEvacuated({"out"});
+  const auto Usable = Table.usable("s");
+  ASSERT_EQ(Usable.size(), 1U);
+  EXPECT_EQ(Usable[0]->Record.Id, "c");
+}
+
+TEST(ReplicaHealth, TakesOutAReplicaThatFailsMoreThanTheOthers) {
+  ReplicaHealth Grey;
+  TimePoint Now = Start;
+  for (int I = 0; I < 12 && !Grey.out(Now); ++I)
+    Grey.note(I % 2 == 0 ? ReplicaOutcome::Failed : ReplicaOutcome::Served, 0.0,
+              Now);
+  EXPECT_TRUE(Grey.out(Now));
+  Now += ReplicaHealth::FirstPause;
+  EXPECT_TRUE(Grey.onTrial(Now));
+  Grey.note(ReplicaOutcome::Served, 0.0, Now);
+  EXPECT_FALSE(Grey.onTrial(Now));
+}
+
+TEST(ReplicaHealth, KeepsAReplicaThatFailsLikeTheOthers) {
+  // Some services fail a part of all requests in normal operation.
+  ReplicaHealth Usual;
+  for (int I = 0; I < 200; ++I)
+    Usual.note(I % 4 == 0 ? ReplicaOutcome::Failed : ReplicaOutcome::Served,
+               0.25, Start);
+  EXPECT_FALSE(Usual.out(Start));
+}
+
+TEST(PickLeastUsed, TriesAReplicaThatIsOutWhenNoOtherIsLeft) {
+  ReplicaTable Table;
+  Table.replaceAll({record("a"), record("b")}, Start, false);
+  for (Replica *Each : Table.usable("s"))
+    Each->Health.note(ReplicaOutcome::Unreachable, 0.0, Start);
+  EXPECT_NE(pickLeastUsed(Table.usable("s"), {}, Start, 1), nullptr);
+  EXPECT_EQ(pickLeastUsed(Table.usable("s"), {.Tried = {"a", "b"}}, Start, 1), nullptr);
+}
+
+std::vector<PromptPart> prompt(std::uint64_t Shared, std::uint32_t Tokens,
+                               std::uint64_t Own = 999) {
+  return {{.Id = Shared, .Tokens = Tokens}, {.Id = Own, .Tokens = 100}};
+}
+
+TEST(ColdShare, DaemonsTogetherStayInsideWhatAColdReplicaBears) {
+  // After a power loss every daemon believed for a moment that it was alone
+  // and sent a cold replica its whole rate.
+  for (const std::size_t Daemons : {1U, 8U, 81U, 370U}) {
+    double Rate = coldShare(true, Daemons, 10s, 0);
+    double SavedUp = 2.0;
+    for (std::uint64_t Each = 1; Each < Daemons; ++Each) {
+      const double Share = coldShare(false, Daemons, 10s, Each);
+      Rate += Share;
+      SavedUp += Share > 0.0 ? 1.0 : 0.0;
+      EXPECT_EQ(coldShare(true, 1, 500ms, Each), 0.0);
+    }
+    // A rate of 14 a second with an overage of a half and 5 beside it.
+    EXPECT_LE(14 * Rate + SavedUp, 14 * 1.5 + 5) << Daemons;
+  }
+}
+
+TEST(EngineEstimate, CountsKnownPartsAsRead) {
+  EngineEstimate Engine({.Slots = 8, .KvTokens = 100000}, 50.0);
+  const SharedPrefix Prefix(prompt(1, 5000));
+  Engine.placed(1, Prefix, 5100, 10, Start);
+  EXPECT_EQ(Engine.cachedTokens(Prefix), 5000U);
+  EXPECT_EQ(Engine.backlog(Start), 102ms);
+  Engine.placed(2, Prefix, 5100, 10, Start);
+  EXPECT_EQ(Engine.backlog(Start), 104ms);
+  EXPECT_EQ(Engine.backlog(Start + 100ms), 4ms);
+}
+
+TEST(EngineEstimate, ForgetsTheOldestPartsWhenMemoryIsShort) {
+  EngineEstimate Engine({.Slots = 8, .KvTokens = 10000}, 50.0);
+  const SharedPrefix First(prompt(1, 4000));
+  const SharedPrefix Second(prompt(2, 4000));
+  Engine.placed(1, First, 4100, 10, Start);
+  Engine.ended(1, Start + 1s);
+  Engine.placed(2, Second, 4100, 10, Start + 1s);
+  Engine.placed(3, SharedPrefix(prompt(3, 100)), 200, 10, Start + 1s);
+  EXPECT_EQ(Engine.cachedTokens(First), 0U);
+  EXPECT_EQ(Engine.cachedTokens(Second), 4000U);
+}
+
+TEST(EngineEstimate, LearnsASlowerRate) {
+  EngineEstimate Engine({.Slots = 8, .KvTokens = 1000000}, 50.0);
+  TimePoint Now = Start;
+  for (RequestKey Key = 1; Key < 60; ++Key) {
+    Engine.placed(Key, SharedPrefix(), 2000, 10, Now);
+    Now += 200ms; // 10 tokens a millisecond.
+    Engine.started(Key, Now);
+    Engine.ended(Key, Now);
+  }
+  EXPECT_LT(Engine.tokensPerMs(), 25.0);
+}
+
+TEST(EngineEstimate, PromptsThatStartTogetherDoNotRaiseTheRate) {
+  // A large prompt whose first event came with that of the small one behind it
+  // seemed to be read in no time, and the engine got all requests.
+  EngineEstimate Engine({.Slots = 8, .KvTokens = 1000000}, 50.0);
+  TimePoint Now = Start;
+  for (RequestKey Key = 1; Key < 200; Key += 2) {
+    Engine.placed(Key, SharedPrefix(), 5000, 10, Now);
+    Engine.placed(Key + 1, SharedPrefix(), 100, 10, Now);
+    Now += 122ms;
+    Engine.started(Key + 1, Now);
+    Engine.started(Key, Now);
+    Engine.ended(Key, Now);
+    Engine.ended(Key + 1, Now);
+  }
+  EXPECT_NEAR(Engine.tokensPerMs(), 50.0, 5.0);
+}
+
+TEST(EngineEstimate, AnOverduePromptShows) {
+  EngineEstimate Engine({.Slots = 8, .KvTokens = 100000}, 50.0);
+  Engine.placed(1, SharedPrefix(), 1000, 10, Start);
+  EXPECT_EQ(Engine.overdue(Start + 20ms), 0ms);
+  EXPECT_GT(Engine.overdue(Start + 2s), 1500ms);
+}
+
+struct DispatcherFixture : ::testing::Test {
+  void replicas(int Count) {
+    std::vector<ReplicaRecord> Records;
+    for (int I = 0; I < Count; ++I)
+      Records.push_back(record("r" + std::to_string(I)));
+    Table.replaceAll(Records, Now, false);
+    refresh();
+  }
+  void refresh() {
+    Dispatcher.setReplicas(
+        Table.usable("s"),
+        {.Name = "s",
+         .ColdPerSecond = 14,
+         .Engine = EngineTraits{.Slots = 16, .KvTokens = 500000}});
+  }
+  ModelRequest request(const std::string &Workspace, std::uint64_t Shared = 1,
+                       std::uint32_t SharedTokens = 1000,
+                       std::uint32_t OwnTokens = 1000) {
+    const RequestKey Key = ++LastKey;
+    return {.Key = Key,
+            .Workspace = Workspace,
+            .Prompt = {{.Id = Shared, .Tokens = SharedTokens},
+                       {.Id = 1000000 + Key, .Tokens = OwnTokens}},
+            .PromptTokens = SharedTokens + OwnTokens,
+            .OutputTokens = 100,
+            .Arrived = Now,
+            .FirstTokenTarget = 400ms,
+            .GivesUp = Now + 3s};
+  }
+  /// Lets engines start and end requests as predicted.
+  void serve(const std::vector<ModelDecision> &Made) {
+    for (const ModelDecision &Each : Made)
+      if (!Each.Where.empty())
+        Running.emplace_back(Each.Key, Now + 60ms);
+    std::erase_if(Running, [&](const auto &Each) {
+      if (Each.second > Now)
+        return false;
+      Dispatcher.started(Each.first, Now);
+      Dispatcher.ended(Each.first, ReplicaOutcome::Served, Now);
+      return true;
+    });
+  }
+
+  TimePoint Now = Start;
+  ReplicaTable Table;
+  ModelDispatcher Dispatcher{{}, 1};
+  RequestKey LastKey = 0;
+  std::vector<std::pair<RequestKey, TimePoint>> Running;
+  std::set<RequestKey> SmallKeys;
+};
+
+TEST_F(DispatcherFixture, SendsTheSamePrefixToTheSameReplica) {
+  replicas(6);
+  std::set<ReplicaId> Homes;
+  for (int I = 0; I < 20; ++I) {
+    EXPECT_FALSE(Dispatcher.offer(request("w", 7, 5000, 200), Now));
+    const auto Made = Dispatcher.pump(Now);
+    ASSERT_EQ(Made.size(), 1U);
+    Homes.insert(Made[0].Where);
+    serve(Made);
+    Now += 200ms;
+    serve({});
+  }
+  EXPECT_EQ(Homes.size(), 1U);
+}
+
+TEST_F(DispatcherFixture, PlacesNothingOnReplicasThatFailed) {
+  replicas(2);
+  Dispatcher.offer(request("w"), Now);
+  const auto First = Dispatcher.pump(Now);
+  ASSERT_EQ(First.size(), 1U);
+  Dispatcher.ended(First[0].Key, ReplicaOutcome::Unreachable, Now);
+  for (int I = 0; I < 3; ++I) {
+    Dispatcher.offer(request("w"), Now);
+    const auto Next = Dispatcher.pump(Now);
+    ASSERT_EQ(Next.size(), 1U);
+    EXPECT_NE(Next[0].Where, First[0].Where);
+    Dispatcher.started(Next[0].Key, Now);
+    Dispatcher.ended(Next[0].Key, ReplicaOutcome::Served, Now);
+    Now += 100ms;
+    Dispatcher.pump(Now);
+  }
+}
+
+TEST_F(DispatcherFixture, RefusesAtOnceWithATimeWhenNoReplicaIsThere) {
+  const auto Refused = Dispatcher.offer(request("w"), Now);
+  ASSERT_TRUE(Refused);
+  EXPECT_TRUE(Refused->Where.empty());
+  EXPECT_GE(Refused->RetryAfter, DispatcherOptions{}.ShortestRetry);
+}
+
+TEST_F(DispatcherFixture, AFloodingWorkspaceDoesNotStarveTheOthers) {
+  // Load: one workspace offers ten times what all engines read, another little.
+  replicas(2);
+  std::map<std::string, int> Placed;
+  int OfferedSmall = 0;
+  for (int Step = 0; Step < 400; ++Step) {
+    std::vector<ModelDecision> Made;
+    std::map<RequestKey, std::string> Owner;
+    for (int I = 0; I < 4; ++I)
+      Dispatcher.offer(request("flood", 100 + LastKey % 9), Now);
+    if (Step % 5 == 0) {
+      ++OfferedSmall;
+      Dispatcher.offer(request("small", 50, 200, 300), Now);
+      SmallKeys.insert(LastKey);
+    }
+    for (const ModelDecision &Each : Dispatcher.pump(Now)) {
+      Made.push_back(Each);
+      if (!Each.Where.empty())
+        ++Placed[SmallKeys.contains(Each.Key) ? "small" : "flood"];
+    }
+    serve(Made);
+    Now += 10ms;
+  }
+  // Far below its fair share, so nearly all of it must be served.
+  EXPECT_GE(Placed["small"], OfferedSmall * 9 / 10);
+  EXPECT_GT(Placed["flood"], Placed["small"]);
+}
+
+TEST_F(DispatcherFixture, AColdReplicaGetsNoMoreThanItBears) {
+  std::vector<ReplicaRecord> Records{record("r0")};
+  Records[0].ColdRemaining = 5s;
+  Table.replaceAll(Records, Now, false);
+  refresh();
+  int Placed = 0;
+  for (int Step = 0; Step < 100; ++Step) {
+    Dispatcher.offer(request("w", 1, 10, 10), Now);
+    const auto Made = Dispatcher.pump(Now);
+    for (const ModelDecision &Each : Made)
+      Placed += Each.Where.empty() ? 0 : 1;
+    serve(Made);
+    Now += 10ms;
+  }
+  EXPECT_LE(Placed, 15);
+  EXPECT_GT(Placed, 4);
+}
+
+TEST_F(DispatcherFixture, LeavesEnginesTimeForOutput) {
+  // Load: prompts faster than the engine may read them. Without the bound all
+  // engine time goes into reading, and long answers miss their deadlines.
+  replicas(1);
+  double ReadingMs = 0;
+  for (int Step = 0; Step < 1000; ++Step) {
+    auto Wanted = request("w", LastKey, 0, 2000);
+    Dispatcher.offer(std::move(Wanted), Now);
+    const auto Made = Dispatcher.pump(Now);
+    for (const ModelDecision &Each : Made)
+      if (!Each.Where.empty())
+        ReadingMs += 2000 / Dispatcher.engine("r0")->tokensPerMs();
+    serve(Made);
+    Now += 10ms;
+  }
+  // The burst and one prompt may come on top.
+  EXPECT_LE(ReadingMs, 10000 * DispatcherOptions{}.ReadingDuty + 600);
+}
+
+TEST_F(DispatcherFixture, ARestartedReplicaIsANewOne) {
+  replicas(1);
+  Dispatcher.offer(request("w", 7, 5000, 200), Now);
+  Dispatcher.pump(Now);
+  EXPECT_EQ(Dispatcher.engine("r0")->requests(), 1U);
+  ReplicaRecord Again = record("r0");
+  Again.BornMillis = 5;
+  Table.upsert(Again, Now);
+  refresh();
+  EXPECT_EQ(Dispatcher.engine("r0")->requests(), 0U);
+}
+
+} // namespace
+} // namespace nutmegdrift::routing
