Count the requests that wait for an engine when choosing one

Cause: at the worst load up to 300 requests waited while a third of the engines were idle. Each request took its home engine for nearly free, because only the prompts at the engine counted, not the requests that waited for it too. Ruled out: the reading duty (idle engines had allowance left) and memory.

Change: a request that is kept waiting reserves its reading time at its engine for the rest of the look; a request is kept once a look. Unit test with the load.

--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -130,6 +130,8 @@
     ModelRequest Request;
     SharedPrefix Prefix;
     bool Returned = false; ///< Was refused before and came back in time.
+    /// The last pump in which the request was kept waiting for its engine.
+    std::uint64_t KeptInPump = 0;
   };
   struct Queue {
     std::vector<Item> Items;
@@ -142,6 +144,9 @@
     TimePoint ColdUntil{};
     std::int64_t BornMillis = 0;
     ColdAllowance Cold{};
+    /// Reading time of the requests that wait for this engine. Without it each
+    /// of them would find waiting cheap, and other engines would run dry.
+    Duration Reserved{0};
     bool Usable = true; ///< Kept for its requests when false.
   };
   struct Choice {
@@ -149,12 +154,14 @@
     const ReplicaId *Id = nullptr;
     Duration Cost{0};
     Duration FirstToken{0};
+    Duration Reading{0};
     bool Now = false; ///< The engine takes it now.
   };
 
   [[nodiscard]] Choice choose(const Item &Wanted, TimePoint Now);
-  [[nodiscard]] Duration costOf(const Item &Wanted, const Engine &At,
-                                TimePoint Now, Duration &FirstToken) const;
+  /// Cost and times at one engine; Now is not set.
+  [[nodiscard]] Choice price(const Item &Wanted, Engine &At,
+                             TimePoint Now) const;
   void updateLoad(TimePoint Now);
   [[nodiscard]] bool takes(Engine &Each, const Item &Wanted,
                            TimePoint Now) const;
@@ -178,6 +185,7 @@
   std::map<ReplicaId, Engine> m_engines;
   std::map<std::string, Queue> m_queues; ///< By workspace.
   std::size_t m_queued = 0;              ///< Items in all queues.
+  std::uint64_t m_pumps = 0;
   double m_load = 0.0; ///< Share of the engines that are busy reading.
   double m_virtualTime = 0.0; ///< Served of the queue placed from last.
   std::unordered_map<RequestKey, ReplicaId> m_placedAt;
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Items of one workspace that are tried before the next workspace's turn.
-constexpr std::size_t ItemsTried = 3;
+constexpr std::size_t ItemsTried = 8;
 /// A refused request counts as returning for this long after its time.
 constexpr Duration ReturnWindow = std::chrono::seconds(2);
 /// Refused requests remembered; older ones are dropped first.
@@ -131,8 +131,8 @@
   m_load += LoadSmoothing * (Load - m_load);
 }
 
-Duration ModelDispatcher::costOf(const Item &Wanted, const Engine &At,
-                                 TimePoint Now, Duration &FirstToken) const {
+ModelDispatcher::Choice ModelDispatcher::price(const Item &Wanted, Engine &At,
+                                               TimePoint Now) const {
   const ModelRequest &Request = Wanted.Request;
   const EngineEstimate &Estimate = At.Estimate;
   const std::uint32_t Shared =
@@ -141,9 +141,9 @@
       std::min(Estimate.cachedTokens(Wanted.Prefix), Shared);
   const Duration Own = Estimate.timeToRead(Request.PromptTokens - Known);
   const Duration Waiting =
-      scaled(Estimate.backlog(Now), 1.0 / m_options.Share) +
+      scaled(Estimate.backlog(Now), 1.0 / m_options.Share) + At.Reserved +
       scaled(Estimate.overdue(Now), OverdueWeight);
-  FirstToken = Waiting + Own + Estimate.overhead();
+  const Duration FirstToken = Waiting + Own + Estimate.overhead();
   const Duration Left =
       scaled(Request.FirstTokenTarget, m_options.TargetShare) -
       (Now - Request.Arrived);
@@ -154,7 +154,7 @@
       std::chrono::microseconds(200) * Estimate.requests();
   if (FirstToken > Left)
     Cost += scaled(m_options.LateCost, sizeOf(Request) / 1000.0);
-  return Cost;
+  return {.Where = &At, .Cost = Cost, .FirstToken = FirstToken, .Reading = Own};
 }
 
 ModelDispatcher::Choice ModelDispatcher::choose(const Item &Wanted,
@@ -167,12 +167,12 @@
     const bool Out = Each.Health.out(Now);
     if (Out && !BestOut)
       continue;
-    Duration FirstToken{0};
-    const Duration Cost = costOf(Wanted, Each, Now, FirstToken);
-    if (Best.Where && Out == BestOut && Cost >= Best.Cost)
+    Choice Here = price(Wanted, Each, Now);
+    if (Best.Where && Out == BestOut && Here.Cost >= Best.Cost)
       continue;
     BestOut = Out;
-    Best = {.Where = &Each, .Id = &Id, .Cost = Cost, .FirstToken = FirstToken};
+    Best = Here;
+    Best.Id = &Id;
   }
   if (Best.Where)
     Best.Now = takes(*Best.Where, Wanted, Now);
@@ -337,7 +337,9 @@
             });
   std::size_t Tried = 0;
   for (const Candidate &Each : Candidates) {
-    const Item &Wanted = From.Items[Each.Index];
+    Item &Wanted = From.Items[Each.Index];
+    if (Wanted.KeptInPump == m_pumps)
+      continue;
     const Choice Best = choose(Wanted, Now);
     if (!Best.Where)
       continue;
@@ -345,6 +347,8 @@
     if (CanMeet == Late)
       continue;
     if (!Best.Now) {
+      Wanted.KeptInPump = m_pumps;
+      Best.Where->Reserved += Best.Reading;
       if (++Tried >= ItemsTried)
         return false;
       continue;
@@ -383,6 +387,9 @@
 std::vector<ModelDecision> ModelDispatcher::pump(TimePoint Now) {
   std::vector<ModelDecision> Out;
   updateLoad(Now);
+  ++m_pumps;
+  for (auto &[Id, Each] : m_engines)
+    Each.Reserved = Duration{0};
   if (m_queued == 0)
     return Out;
   // Requests that can still meet their target first; late ones use what is
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -332,6 +332,28 @@
   EXPECT_LE(ReadingMs, 10000 * DispatcherOptions{}.ReadingDuty + 600);
 }
 
+TEST_F(DispatcherFixture, ABusyHomeDoesNotLeaveOtherEnginesIdle) {
+  // Load: a burst of requests with one prefix. Each one alone would wait for
+  // the engine that knows it, and all but a few would be refused.
+  replicas(4);
+  std::set<ReplicaId> Used;
+  int Placed = 0;
+  for (int I = 0; I < 24; ++I)
+    Dispatcher.offer(request("w" + std::to_string(I % 4), 7, 2000, 1500), Now);
+  for (int Step = 0; Step < 40; ++Step) {
+    const auto Made = Dispatcher.pump(Now);
+    for (const ModelDecision &Each : Made)
+      if (!Each.Where.empty()) {
+        Used.insert(Each.Where);
+        ++Placed;
+      }
+    serve(Made);
+    Now += 10ms;
+  }
+  EXPECT_EQ(Used.size(), 4U);
+  EXPECT_GE(Placed, 20);
+}
+
 TEST_F(DispatcherFixture, ARestartedReplicaIsANewOne) {
   replicas(1);
   Dispatcher.offer(request("w", 7, 5000, 200), Now);
