--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -103,7 +103,7 @@
   TimePoint m_limit{}; ///< When the answer must be over.
 
   std::set<routing::ReplicaId> m_tried;
-  unsigned m_sends = 0;   ///< Replicas that the request was sent to.
+  unsigned m_sends = 0; ///< Replicas that the request was sent to.
   bool m_mayHaveRun = false;
   std::optional<routing::RequestKey> m_placement; ///< Model calls only.
   Error m_lastError; ///< Why the last attempt failed.
@@ -113,7 +113,7 @@
   routing::ReplicaId m_replica;
   std::optional<net::HttpAnswerHead> m_head;
   AnswerFacts m_answer;
-  std::string m_body; ///< Held back until the answer is whole.
+  std::string m_body;       ///< Held back until the answer is whole.
   bool m_streaming = false; ///< The answer's head went to the caller.
   bool m_silent = false;    ///< The replica was reported as silent.
   bool m_reading = true;    ///< False while the caller is slower.
--- a/include/nutmegdrift/gateway/dialect.h
+++ b/include/nutmegdrift/gateway/dialect.h
@@ -14,7 +14,7 @@
 
 /// What the headers of a caller's request say.
 struct CallFacts {
-  std::string Id; ///< Unique for each send of the caller.
+  std::string Id;                       ///< Unique for each send of the caller.
   std::optional<Milliseconds> Deadline; ///< How long the caller waits.
   std::string Key; ///< The caller's API key; empty if it sent none.
   std::vector<routing::PromptPart> Prompt;
@@ -35,7 +35,7 @@
 
 /// What the head of a replica's answer says.
 struct AnswerFacts {
-  std::string Id; ///< Of the request that it answers.
+  std::string Id;      ///< Of the request that it answers.
   bool NotRun = false; ///< The replica did not run the request.
   bool Signed = false; ///< Bears the replica's signature.
 
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -30,7 +30,7 @@
   HostPort Internal; ///< Where daemons reach it, over UDP and TCP.
   bool Ready = false;
   bool Stopping = false;
-  double Weight = 1.0; ///< Share of a processor.
+  double Weight = 1.0;            ///< Share of a processor.
   std::uint64_t StateVersion = 0; ///< Desired state in force; 0: none.
   /// Age of the newest confirmation by the store that StateVersion is the
   /// newest; negative: none.
@@ -70,7 +70,8 @@
 
 struct StartedReport {
   std::uint64_t Sequence = 0;
-  friend bool operator==(const StartedReport &, const StartedReport &) = default;
+  friend bool operator==(const StartedReport &,
+                         const StartedReport &) = default;
 };
 
 struct EndedReport {
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -87,7 +87,7 @@
   struct Own {
     std::string Service;
     routing::ModelRequest Request;
-    OnDecision OnDone; ///< Empty once decided.
+    OnDecision OnDone;  ///< Empty once decided.
     DaemonName AskedAt; ///< Dispatcher that was asked; empty: this daemon.
     bool Started = false;
     routing::ReplicaId RunsAt{};
--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -26,7 +26,8 @@
   /// Multiple of a cold replica's rate that is tolerated.
   double ColdOverage = 1.5;
 
-  friend bool operator==(const GatewayBounds &, const GatewayBounds &) = default;
+  friend bool operator==(const GatewayBounds &,
+                         const GatewayBounds &) = default;
 };
 
 struct GatewaySettings {
--- a/include/nutmegdrift/net/http_message.h
+++ b/include/nutmegdrift/net/http_message.h
@@ -33,9 +33,7 @@
   /// The first value of the field, compared without case.
   [[nodiscard]] std::optional<std::string_view>
   find(std::string_view Name) const;
-  [[nodiscard]] const std::vector<HeaderField> &all() const {
-    return m_fields;
-  }
+  [[nodiscard]] const std::vector<HeaderField> &all() const { return m_fields; }
 
   friend bool operator==(const HeaderList &, const HeaderList &) = default;
 
--- a/include/nutmegdrift/routing/desired_state.h
+++ b/include/nutmegdrift/routing/desired_state.h
@@ -68,8 +68,8 @@
   std::string Name;
   std::string HealthPath;
   unsigned ConnectionLimit = 0; ///< Per replica, over all callers; 0: unknown.
-  double ColdPerSecond = 0.0; ///< Requests a second a cold replica bears; 0:
-                              ///< no limit.
+  double ColdPerSecond = 0.0;   ///< Requests a second a cold replica bears; 0:
+                                ///< no limit.
   std::optional<EngineTraits> Engine; ///< Absent: a plain service.
 
   friend bool operator==(const Service &, const Service &) = default;
@@ -118,7 +118,9 @@
   [[nodiscard]] const Service *service(std::string_view Name) const;
   /// The workspace that holds the key.
   [[nodiscard]] const std::string *workspaceOf(const std::string &Key) const;
-  [[nodiscard]] bool keysRequired() const { return !m_state.Workspaces.empty(); }
+  [[nodiscard]] bool keysRequired() const {
+    return !m_state.Workspaces.empty();
+  }
   /// Picks a service of the route by weight; Draw is uniform in [0, 1).
   [[nodiscard]] static const std::string &pickService(const Route &Where,
                                                       double Draw);
--- a/include/nutmegdrift/routing/engine_estimate.h
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -27,7 +27,7 @@
 class SharedPrefix {
 public:
   struct Level {
-    std::uint64_t Chain = 0; ///< Hash of this part and all parts before it.
+    std::uint64_t Chain = 0;  ///< Hash of this part and all parts before it.
     std::uint32_t Tokens = 0; ///< Of this part.
 
     friend bool operator==(const Level &, const Level &) = default;
@@ -131,9 +131,9 @@
   Duration m_readingAllowance = ReadingBurst;
   TimePoint m_readingRefilled{};
   std::unordered_map<RequestKey, std::uint64_t> m_requests; ///< Tokens of each.
-  std::uint64_t m_heldTokens = 0; ///< Sum over m_requests.
+  std::uint64_t m_heldTokens = 0;                    ///< Sum over m_requests.
   std::unordered_map<std::uint64_t, Cached> m_cache; ///< By chain.
-  std::list<std::uint64_t> m_uses; ///< Chains, the latest used first.
+  std::list<std::uint64_t> m_uses;  ///< Chains, the latest used first.
   std::uint64_t m_cachedTokens = 0; ///< Sum over m_cache.
 };
 
--- a/include/nutmegdrift/routing/replica_table.h
+++ b/include/nutmegdrift/routing/replica_table.h
@@ -8,6 +8,7 @@
 #include "nutmegdrift/routing/cold_allowance.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,7 +26,7 @@
   std::string Version; ///< Of its software.
   unsigned Slots = 1;
   bool Draining = false;
-  Duration ColdRemaining{0};  ///< When the record was written.
+  Duration ColdRemaining{0};   ///< When the record was written.
   std::int64_t BornMillis = 0; ///< Unix time of its start; 0: unknown.
 
   friend bool operator==(const ReplicaRecord &,
@@ -85,17 +86,18 @@
 /// All replicas by id. Not thread-safe.
 class ReplicaTable {
 public:
-  /// Entries that lapsed while the platform's store was away are back by then
-  /// if the replica lives.
+  /// Entries that lapsed while the platform's store was away are back by this
+  /// time after its return if the replica lives.
   static constexpr Duration LapseGrace = std::chrono::milliseconds(2200);
 
-  /// A whole list. Replicas missing from it leave, at once or, with Lapsed,
-  /// after LapseGrace.
+  /// A whole list. Replicas missing from it leave, at once or at KeepUntil.
   void replaceAll(const std::vector<ReplicaRecord> &Records, TimePoint Now,
-                  bool Lapsed);
+                  std::optional<TimePoint> KeepUntil);
   void upsert(const ReplicaRecord &Record, TimePoint Now);
-  void remove(const ReplicaId &Id, TimePoint Now, bool Lapsed);
-  /// Removes replicas whose grace has passed; returns their ids.
+  /// KeepUntil is a time and not a length: a replica that leaves just before
+  /// the grace of an outage ends must not be used beyond it.
+  void remove(const ReplicaId &Id, std::optional<TimePoint> KeepUntil);
+  /// Removes replicas whose time has come; returns their ids.
   std::vector<ReplicaId> expire(TimePoint Now);
   void setEvacuated(std::set<std::string> Zones);
 
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -54,8 +54,7 @@
 }
 
 std::string text(Duration Time) {
-  return std::to_string(
-      std::chrono::duration_cast<Milliseconds>(Time).count());
+  return std::to_string(std::chrono::duration_cast<Milliseconds>(Time).count());
 }
 
 std::string seconds(Milliseconds Time) {
@@ -67,8 +66,7 @@
 
 } // namespace
 
-Call::Call(CallEnvironment &Env,
-           std::shared_ptr<net::ServerExchange> Exchange)
+Call::Call(CallEnvironment &Env, std::shared_ptr<net::ServerExchange> Exchange)
     : m_env(Env), m_exchange(std::move(Exchange)), m_limitTimer(Env.Loop),
       m_silenceTimer(Env.Loop) {}
 
@@ -76,8 +74,8 @@
 
 const std::vector<Call::Filter> &Call::filters() {
   static const std::vector<Filter> Chain = {
-      &Call::checkState, &Call::readFacts,     &Call::findRoute,
-      &Call::checkKey,   &Call::checkDeadline, &Call::checkCrashes,
+      &Call::checkState,   &Call::readFacts,     &Call::findRoute,
+      &Call::checkKey,     &Call::checkDeadline, &Call::checkCrashes,
       &Call::checkStopping};
   return Chain;
 }
@@ -166,8 +164,8 @@
 
 std::optional<Error> Call::checkCrashes() {
   const net::HttpRequest &Request = m_exchange->request();
-  m_fingerprint = hashText(Request.Body, hashText(Request.Target,
-                                                  hashText(m_facts.Key)));
+  m_fingerprint =
+      hashText(Request.Body, hashText(Request.Target, hashText(m_facts.Key)));
   if (!m_env.Crashes.refuses(m_fingerprint, m_env.Clk.now()))
     return std::nullopt;
   // 503 and not the table's 422: the request did not run, and a fault of the
@@ -213,9 +211,8 @@
         Of->ColdPerSecond *
         routing::coldShare(false, m_env.Daemons(), Now - m_env.Started,
                            hashText(m_env.Settings.Name, hashText(m_service)));
-  const routing::Replica *Chosen =
-      routing::pickLeastUsed(m_env.State.Replicas.usable(m_service), Limits,
-                             Now, m_env.Rng());
+  const routing::Replica *Chosen = routing::pickLeastUsed(
+      m_env.State.Replicas.usable(m_service), Limits, Now, m_env.Rng());
   if (Chosen) {
     send(Chosen->Record.Id);
     return;
@@ -297,14 +294,13 @@
   const routing::Service *Of = service();
   unsigned Bound = std::numeric_limits<unsigned>::max();
   if (Of && Of->ConnectionLimit > 0)
-    Bound = std::max(
-        LeastConnections,
-        static_cast<unsigned>(Of->ConnectionLimit * ConnectionShare /
-                              static_cast<double>(m_env.Daemons())));
+    Bound =
+        std::max(LeastConnections,
+                 static_cast<unsigned>(Of->ConnectionLimit * ConnectionShare /
+                                       static_cast<double>(m_env.Daemons())));
   policy::RetryBudget &Budget =
       m_env.Budgets
-          .try_emplace(m_service,
-                       m_env.Settings.Bounds.RetryShare * 0.75,
+          .try_emplace(m_service, m_env.Settings.Bounds.RetryShare * 0.75,
                        m_env.Settings.Bounds.RetryWindow,
                        m_env.Settings.Bounds.RetryFloor / m_env.Daemons())
           .first->second;
@@ -331,11 +327,10 @@
       .Method = Received.Method,
       .Target = Received.Target,
       .Headers = m_env.Headers.forward(
-          Received.Headers,
-          {.Replica = To,
-           .Deadline = std::max(timeLeft(), Milliseconds(1)),
-           .Workspace = m_workspace,
-           .ResumeAfter = m_resumeAfter}),
+          Received.Headers, {.Replica = To,
+                             .Deadline = std::max(timeLeft(), Milliseconds(1)),
+                             .Workspace = m_workspace,
+                             .ResumeAfter = m_resumeAfter}),
       .Body = Received.Body};
   const auto Self = shared_from_this();
   m_connection->send(
@@ -344,9 +339,8 @@
            [Self](const net::HttpAnswerHead &Head) {
              return Self->m_env.Headers.readAnswer(Head).Id == Self->m_facts.Id;
            },
-       .OnHead = [Self](net::HttpAnswerHead Head) {
-         Self->onHead(std::move(Head));
-       },
+       .OnHead =
+           [Self](net::HttpAnswerHead Head) { Self->onHead(std::move(Head)); },
        .OnBody = [Self](std::string_view Body) { Self->onBody(Body); },
        .OnEnd = [Self] { Self->onEnd(); },
        .OnFailure = [Self](ClientFailure Why) { Self->onFailure(Why); }},
@@ -356,9 +350,9 @@
     const auto Target = m_route->FirstByteTarget.count() > 0
                             ? m_route->FirstByteTarget
                             : DefaultTarget;
-    Silence = std::max(ShortestSilence,
-                       std::chrono::duration_cast<Duration>(Target *
-                                                            SilenceFactor));
+    Silence =
+        std::max(ShortestSilence,
+                 std::chrono::duration_cast<Duration>(Target * SilenceFactor));
   }
   m_silenceTimer.callAfter(Silence, [Self] { Self->onSilence(); });
 }
@@ -579,8 +573,7 @@
                   {"route", m_route ? m_route->Name : ""},
                   {"state_version",
                    m_table ? std::to_string(m_table->state().Version) : "0"},
-                  {"held_ms",
-                   text(m_env.Clk.now() - m_exchange->received())}});
+                  {"held_ms", text(m_env.Clk.now() - m_exchange->received())}});
   if (m_streaming) {
     m_exchange->abort();
     finish();
@@ -606,8 +599,8 @@
                  {{"request", m_facts.Id},
                   {"replica", m_replica},
                   {"after_ms", text(m_env.Clk.now() - m_sentAt)}});
-  if (!routing::mayRepeat(m_route->Kind) ||
-      m_sends >= m_route->MaxReplicas || m_tried.size() > MaxUnreachable)
+  if (!routing::mayRepeat(m_route->Kind) || m_sends >= m_route->MaxReplicas ||
+      m_tried.size() > MaxUnreachable)
     return;
   const auto Budget = m_env.Budgets.find(m_service);
   if (Budget == m_env.Budgets.end() ||
@@ -640,14 +633,14 @@
   if (m_over)
     return;
   m_env.Metrics.callerLeft();
-  const bool Silent = m_connection && !m_head &&
-                      m_env.Clk.now() - m_sentAt > AbandonedSilence;
-  m_env.Log.line(LogClass::Request, "caller.left",
-                 {{"request", m_facts.Id},
-                  {"replica", m_replica},
-                  {"answer_begun", m_streaming ? "yes" : "no"},
-                  {"after_ms",
-                   text(m_env.Clk.now() - m_exchange->received())}});
+  const bool Silent =
+      m_connection && !m_head && m_env.Clk.now() - m_sentAt > AbandonedSilence;
+  m_env.Log.line(
+      LogClass::Request, "caller.left",
+      {{"request", m_facts.Id},
+       {"replica", m_replica},
+       {"answer_begun", m_streaming ? "yes" : "no"},
+       {"after_ms", text(m_env.Clk.now() - m_exchange->received())}});
   releaseReplica(Silent ? ReplicaOutcome::Silent : ReplicaOutcome::Abandoned);
   finish();
 }
--- a/src/nutmegdrift/gateway/crash_watch.cpp
+++ b/src/nutmegdrift/gateway/crash_watch.cpp
@@ -59,9 +59,8 @@
           Each.Seen,
           SuspectCount{.Fingerprint = Fingerprint,
                        .Crashed = {Each.Crashed.begin(), Each.Crashed.end()}});
-  std::sort(Newest.begin(), Newest.end(), [](const auto &A, const auto &B) {
-    return A.first > B.first;
-  });
+  std::sort(Newest.begin(), Newest.end(),
+            [](const auto &A, const auto &B) { return A.first > B.first; });
   std::vector<SuspectCount> Out;
   for (std::size_t I = 0; I < std::min(Newest.size(), MaxTold); ++I)
     Out.push_back(std::move(Newest[I].second));
--- a/src/nutmegdrift/gateway/endpoint_pool.cpp
+++ b/src/nutmegdrift/gateway/endpoint_pool.cpp
@@ -12,14 +12,12 @@
 
 } // namespace
 
-void RestLimit::lostAtReuse() {
-  m_value = std::max(m_value / 2, Shortest);
-}
+void RestLimit::lostAtReuse() { m_value = std::max(m_value / 2, Shortest); }
 
 void RestLimit::reused() {
-  m_value = std::min(
-      std::chrono::duration_cast<Duration>(m_value * (1.0 + Recovery)),
-      Longest);
+  m_value =
+      std::min(std::chrono::duration_cast<Duration>(m_value * (1.0 + Recovery)),
+               Longest);
 }
 
 EndpointPool::Connection
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -106,7 +106,8 @@
         Outcome > static_cast<int>(routing::ReplicaOutcome::Abandoned))
       throw std::out_of_range("outcome");
     return EndedReport{.Sequence = V.at(1).get<std::uint64_t>(),
-                       .Outcome = static_cast<routing::ReplicaOutcome>(Outcome)};
+                       .Outcome =
+                           static_cast<routing::ReplicaOutcome>(Outcome)};
   }
   case 4:
     return PlaceGrant{.Sequence = V.at(1).get<std::uint64_t>(),
@@ -138,10 +139,10 @@
   for (const SuspectCount &Each : B.Suspects)
     Suspects.push_back(json::array({Each.Fingerprint, Each.Crashed}));
   json Out = json::array();
-  Out = {FormatVersion, B.Daemon,      B.Boot,
-         toJson(B.Front), toJson(B.Internal), B.Ready,
-         B.Stopping,    B.Weight,      B.StateVersion,
-         B.StateAge.count(), B.Revisions, std::move(Others),
+  Out = {FormatVersion,      B.Daemon,           B.Boot,
+         toJson(B.Front),    toJson(B.Internal), B.Ready,
+         B.Stopping,         B.Weight,           B.StateVersion,
+         B.StateAge.count(), B.Revisions,        std::move(Others),
          std::move(Suspects)};
   return bytesOf(Out);
 }
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -38,17 +38,16 @@
       m_beacon(Loop, Clk, Log, m_settings.Internal,
                {.Compose = [this] { return composeBeat(); },
                 .OnBeat = [this](const Beat &From) { heard(From); }}),
-      m_placement({.Loop = Loop,
-                   .Clk = Clk,
-                   .Log = Log,
-                   .Self = m_settings.Name,
-                   .Internal = m_settings.Internal,
-                   .Candidates = [this] { return candidates(); },
-                   .AddressOf =
-                       [this](const DaemonName &Daemon) {
-                         return addressOf(Daemon);
-                       },
-                   .Seed = m_boot}),
+      m_placement(
+          {.Loop = Loop,
+           .Clk = Clk,
+           .Log = Log,
+           .Self = m_settings.Name,
+           .Internal = m_settings.Internal,
+           .Candidates = [this] { return candidates(); },
+           .AddressOf =
+               [this](const DaemonName &Daemon) { return addressOf(Daemon); },
+           .Seed = m_boot}),
       m_calls{.Loop = Loop,
               .Clk = Clk,
               .Log = Log,
@@ -212,8 +211,8 @@
           .StateAge = Age ? std::chrono::duration_cast<Milliseconds>(*Age) +
                                 Milliseconds(1)
                           : Milliseconds(-1),
-          .Revisions = m_hooks.SeenRevisions ? m_hooks.SeenRevisions()
-                                             : Revisions{},
+          .Revisions =
+              m_hooks.SeenRevisions ? m_hooks.SeenRevisions() : Revisions{},
           .Suspects = m_crashes.told(Now)};
 }
 
@@ -237,8 +236,8 @@
   for (const auto &[Name, Each] : m_beacon.view().members())
     if (m_beacon.view().alive(Each, Now) && Each.Last.Ready &&
         !Each.Last.Stopping)
-      Out.push_back({.Name = Name,
-                     .Weight = std::max(Each.Last.Weight, LeastWeight)});
+      Out.push_back(
+          {.Name = Name, .Weight = std::max(Each.Last.Weight, LeastWeight)});
   return Out;
 }
 
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -95,9 +95,7 @@
   m_impl->Opened.Set(Count);
 }
 
-void GatewayMetrics::linesSuppressed(double Count) {
-  m_impl->Lines.Set(Count);
-}
+void GatewayMetrics::linesSuppressed(double Count) { m_impl->Lines.Set(Count); }
 
 std::string GatewayMetrics::text() const {
   return prometheus::TextSerializer().Serialize(m_impl->Registry.Collect());
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -54,7 +54,9 @@
   ~Link() override { m_stream->close(); }
 
   void open(const HostPort &To) { m_stream->connect(To, LinkConnectTimeout); }
-  void send(const PlacementMessage &What) { m_stream->write(encodeFrame(What)); }
+  void send(const PlacementMessage &What) {
+    m_stream->write(encodeFrame(What));
+  }
   [[nodiscard]] const DaemonName &daemon() const { return m_daemon; }
   /// Whether requests may be sent.
   [[nodiscard]] bool usable() const { return m_up && !m_silent; }
@@ -124,12 +126,13 @@
 public:
   Client(Placement &Owner, std::uint32_t Number, net::TcpSocket Socket)
       : m_owner(Owner), m_number(Number),
-        m_stream(
-            std::make_shared<net::ByteStream>(std::move(Socket), *this)) {}
+        m_stream(std::make_shared<net::ByteStream>(std::move(Socket), *this)) {}
   ~Client() override { m_stream->close(); }
 
   void start() { m_stream->startReading(); }
-  void send(const PlacementMessage &What) { m_stream->write(encodeFrame(What)); }
+  void send(const PlacementMessage &What) {
+    m_stream->write(encodeFrame(What));
+  }
   [[nodiscard]] std::uint32_t number() const { return m_number; }
   [[nodiscard]] std::map<std::uint64_t, std::string> &requests() {
     return m_requests;
@@ -193,19 +196,18 @@
 }
 
 void Placement::accept() {
-  m_acceptor.async_accept(
-      [this](const boost::system::error_code &Failed, net::TcpSocket Socket) {
-        if (Failed == boost::asio::error::operation_aborted)
-          return;
-        if (!Failed) {
-          const std::uint32_t Number = m_nextClient++;
-          auto From =
-              std::make_shared<Client>(*this, Number, std::move(Socket));
-          m_clients[Number] = From;
-          From->start();
-        }
-        accept();
-      });
+  m_acceptor.async_accept([this](const boost::system::error_code &Failed,
+                                 net::TcpSocket Socket) {
+    if (Failed == boost::asio::error::operation_aborted)
+      return;
+    if (!Failed) {
+      const std::uint32_t Number = m_nextClient++;
+      auto From = std::make_shared<Client>(*this, Number, std::move(Socket));
+      m_clients[Number] = From;
+      From->start();
+    }
+    accept();
+  });
 }
 
 routing::ModelDispatcher &Placement::dispatcher(const std::string &Service) {
@@ -233,7 +235,8 @@
 }
 
 void Placement::updateShares() {
-  const std::size_t Daemons = std::max<std::size_t>(m_env.Candidates().size(), 1);
+  const std::size_t Daemons =
+      std::max<std::size_t>(m_env.Candidates().size(), 1);
   for (auto &[Service, Each] : m_dispatchers) {
     routing::DispatcherOptions Options = m_options;
     const bool Dispatches = dispatcherOf(Service) == m_env.Self;
@@ -282,33 +285,30 @@
   Mine.AskedAt = At;
   To->owed(Now);
   const routing::ModelRequest &Asked = Mine.Request;
-  To->send(PlaceRequest{
-      .Sequence = Key,
-      .Service = Service,
-      .Workspace = Asked.Workspace,
-      .Prompt = Asked.Prompt,
-      .PromptTokens = Asked.PromptTokens,
-      .OutputTokens = Asked.OutputTokens,
-      .Age = toMs(Now - Asked.Arrived),
-      .Target = toMs(Asked.FirstTokenTarget),
-      .GivesUpIn = toMs(Asked.GivesUp - Now),
-      .Tried = {Asked.Tried.begin(), Asked.Tried.end()}});
+  To->send(PlaceRequest{.Sequence = Key,
+                        .Service = Service,
+                        .Workspace = Asked.Workspace,
+                        .Prompt = Asked.Prompt,
+                        .PromptTokens = Asked.PromptTokens,
+                        .OutputTokens = Asked.OutputTokens,
+                        .Age = toMs(Now - Asked.Arrived),
+                        .Target = toMs(Asked.FirstTokenTarget),
+                        .GivesUpIn = toMs(Asked.GivesUp - Now),
+                        .Tried = {Asked.Tried.begin(), Asked.Tried.end()}});
   return Key;
 }
 
 void Placement::offerHere(const std::string &Service, RequestKey Key) {
   Own &Mine = m_own.at(Key);
   Mine.AskedAt.clear();
-  const auto Refused =
-      dispatcher(Service).offer(Mine.Request, m_env.Clk.now());
+  const auto Refused = dispatcher(Service).offer(Mine.Request, m_env.Clk.now());
   if (!Refused) {
     schedulePump();
     return;
   }
   // Not at once: the caller of place() doesn't have the key yet.
-  boost::asio::post(m_env.Loop, [this, Made = *Refused] {
-    decideOwn(Made.Key, Made);
-  });
+  boost::asio::post(m_env.Loop,
+                    [this, Made = *Refused] { decideOwn(Made.Key, Made); });
 }
 
 void Placement::decideOwn(RequestKey Key, const ModelDecision &Made) {
@@ -379,9 +379,9 @@
     }
     if (!To->silent() && Now - To->heard() > SilenceBound) {
       To->setSilent();
-      m_env.Log.line(LogClass::Fault, "dispatcher.silent",
-                     {{"daemon", Daemon},
-                      {"owing", std::to_string(To->owing())}});
+      m_env.Log.line(
+          LogClass::Fault, "dispatcher.silent",
+          {{"daemon", Daemon}, {"owing", std::to_string(To->owing())}});
       takeBack(Daemon);
     }
   }
@@ -407,19 +407,18 @@
     if (dispatcherOf(Service) != m_env.Self)
       continue;
     const routing::DispatcherTotals &Totals = Each.totals();
-    m_env.Log.line(
-        LogClass::Belief, "dispatcher.summary",
-        {{"service", Service},
-         {"placed", std::to_string(Totals.Placed)},
-         {"refused", std::to_string(Totals.Refused)},
-         {"late", std::to_string(Totals.Late)},
-         {"queued", std::to_string(Each.queued())},
-         {"running", std::to_string(Each.running())},
-         {"load", std::to_string(Each.load())},
-         {"tokens_read", std::to_string(Totals.TokensRead)},
-         {"tokens_known", std::to_string(Totals.TokensKnown)},
-         {"tokens_reread", std::to_string(Totals.TokensReread)},
-         {"engines", Each.describeEngines()}});
+    m_env.Log.line(LogClass::Belief, "dispatcher.summary",
+                   {{"service", Service},
+                    {"placed", std::to_string(Totals.Placed)},
+                    {"refused", std::to_string(Totals.Refused)},
+                    {"late", std::to_string(Totals.Late)},
+                    {"queued", std::to_string(Each.queued())},
+                    {"running", std::to_string(Each.running())},
+                    {"load", std::to_string(Each.load())},
+                    {"tokens_read", std::to_string(Totals.TokensRead)},
+                    {"tokens_known", std::to_string(Totals.TokensKnown)},
+                    {"tokens_reread", std::to_string(Totals.TokensReread)},
+                    {"engines", Each.describeEngines()}});
   }
 }
 
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -71,12 +71,12 @@
   if (!Node)
     return Default;
   return {
-      .KeyRevocation = Milliseconds(positive(Node, "key_revocation_ms",
-                                             Default.KeyRevocation.count())),
+      .KeyRevocation = Milliseconds(
+          positive(Node, "key_revocation_ms", Default.KeyRevocation.count())),
       .StopGrace = Milliseconds(
           positive(Node, "stop_grace_ms", Default.StopGrace.count())),
-      .DirectoryTtl = std::chrono::seconds(positive(
-          Node, "directory_ttl_s", Default.DirectoryTtl.count())),
+      .DirectoryTtl = std::chrono::seconds(
+          positive(Node, "directory_ttl_s", Default.DirectoryTtl.count())),
       .RetryShare = fraction(Node, "retry_share", Default.RetryShare),
       .RetryWindow = std::chrono::seconds(
           positive(Node, "retry_window_s", Default.RetryWindow.count())),
@@ -91,8 +91,7 @@
     return Out;
   auto Time = [&](const char *Name, Duration Default) {
     const double Millis = valueOr<double>(
-        Node, Name,
-        std::chrono::duration<double, std::milli>(Default).count());
+        Node, Name, std::chrono::duration<double, std::milli>(Default).count());
     if (!(Millis >= 0.0))
       bad(Node[Name], Name, "must be 0 or more");
     return std::chrono::duration_cast<Duration>(
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -25,9 +25,8 @@
     : m_socket(Loop), m_connectTimer(Loop), m_listener(&Owner) {}
 
 ByteStream::ByteStream(TcpSocket Socket, Listener &Owner)
-    : m_socket(std::move(Socket)),
-      m_connectTimer(
-          static_cast<EventLoop &>(m_socket.get_executor().context())),
+    : m_socket(std::move(Socket)), m_connectTimer(static_cast<EventLoop &>(
+                                       m_socket.get_executor().context())),
       m_listener(&Owner), m_connected(true) {
   boost::system::error_code Ignored;
   m_socket.non_blocking(true, Ignored);
@@ -84,17 +83,17 @@
 
 void ByteStream::waitReadable() {
   m_waitingReadable = true;
-  m_socket.async_wait(TcpSocket::wait_read,
-                      [Self = shared_from_this()](
-                          const boost::system::error_code &Failed) {
-                        Self->m_waitingReadable = false;
-                        if (!Self->m_listener)
-                          return;
-                        if (Failed)
-                          Self->end(StreamEnd::Reset);
-                        else
-                          Self->readAvailable();
-                      });
+  m_socket.async_wait(
+      TcpSocket::wait_read,
+      [Self = shared_from_this()](const boost::system::error_code &Failed) {
+        Self->m_waitingReadable = false;
+        if (!Self->m_listener)
+          return;
+        if (Failed)
+          Self->end(StreamEnd::Reset);
+        else
+          Self->readAvailable();
+      });
 }
 
 void ByteStream::readAvailable() {
@@ -159,16 +158,16 @@
   if (m_waitingWritable)
     return;
   m_waitingWritable = true;
-  m_socket.async_wait(TcpSocket::wait_write,
-                      [Self = shared_from_this()](
-                          const boost::system::error_code &Failed) {
-                        Self->m_waitingWritable = false;
-                        if (!Self->m_listener || Failed)
-                          return;
-                        Self->flush();
-                        if (Self->m_listener && Self->m_out.empty())
-                          Self->m_listener->onDrained();
-                      });
+  m_socket.async_wait(
+      TcpSocket::wait_write,
+      [Self = shared_from_this()](const boost::system::error_code &Failed) {
+        Self->m_waitingWritable = false;
+        if (!Self->m_listener || Failed)
+          return;
+        Self->flush();
+        if (Self->m_listener && Self->m_out.empty())
+          Self->m_listener->onDrained();
+      });
 }
 
 void ByteStream::finishWriting() {
--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -88,7 +88,8 @@
   m_unread.clear();
   m_reader = std::make_unique<AnswerReader>(
       AnswerReader::Events{
-          .OnHead = [this](HttpAnswerHead Head) { headArrived(std::move(Head)); },
+          .OnHead =
+              [this](HttpAnswerHead Head) { headArrived(std::move(Head)); },
           .OnBody =
               [this](std::string_view Body) {
                 if (m_ours && m_busy && m_events.OnBody)
--- a/src/nutmegdrift/net/event_loop.cpp
+++ b/src/nutmegdrift/net/event_loop.cpp
@@ -39,7 +39,8 @@
   Set(TCP_KEEPINTVL, static_cast<int>(Probes.Interval.count()));
   Set(TCP_KEEPCNT, Probes.Probes);
   const auto Total = Probes.Idle + Probes.Interval * Probes.Probes;
-  Set(TCP_USER_TIMEOUT, static_cast<int>(std::chrono::milliseconds(Total).count()));
+  Set(TCP_USER_TIMEOUT,
+      static_cast<int>(std::chrono::milliseconds(Total).count()));
 }
 
 std::optional<boost::asio::ip::tcp::endpoint>
--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -36,8 +36,7 @@
   });
 }
 
-std::optional<std::string_view>
-HeaderList::find(std::string_view Name) const {
+std::optional<std::string_view> HeaderList::find(std::string_view Name) const {
   for (const HeaderField &Field : m_fields)
     if (equalIgnoringCase(Field.Name, Name))
       return Field.Value;
@@ -65,11 +64,17 @@
 } // namespace
 
 bool isHopByHop(std::string_view Name, std::string_view ConnectionTokens) {
-  static constexpr std::string_view Names[] = {
-      "Connection", "Keep-Alive",        "Proxy-Connection",
-      "TE",         "Trailer",           "Transfer-Encoding",
-      "Upgrade",    "Content-Length",    "Expect",
-      "Proxy-Authorization", "Proxy-Authenticate"};
+  static constexpr std::string_view Names[] = {"Connection",
+                                               "Keep-Alive",
+                                               "Proxy-Connection",
+                                               "TE",
+                                               "Trailer",
+                                               "Transfer-Encoding",
+                                               "Upgrade",
+                                               "Content-Length",
+                                               "Expect",
+                                               "Proxy-Authorization",
+                                               "Proxy-Authenticate"};
   for (std::string_view Known : Names)
     if (equalIgnoringCase(Name, Known))
       return true;
@@ -237,8 +242,8 @@
 }
 
 std::string serialiseHead(int Status, const HeaderList &Headers) {
-  std::string Out =
-      "HTTP/1.1 " + std::to_string(Status) + " " + std::string(reasonOf(Status)) + "\r\n";
+  std::string Out = "HTTP/1.1 " + std::to_string(Status) + " " +
+                    std::string(reasonOf(Status)) + "\r\n";
   for (const HeaderField &Field : Headers.all())
     Out += Field.Name + ": " + Field.Value + "\r\n";
   Out += "\r\n";
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -199,7 +199,7 @@
   std::shared_ptr<ByteStream> m_stream;
   Timer m_timer;
   std::unique_ptr<RequestReader> m_reader;
-  std::string m_in; ///< Received and not yet parsed.
+  std::string m_in;                           ///< Received and not yet parsed.
   std::shared_ptr<ServerExchange> m_exchange; ///< The request under way.
   bool m_started = false; ///< Bytes of the next request were parsed.
   bool m_continued = false;
--- a/src/nutmegdrift/routing/engine_estimate.cpp
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -28,9 +28,8 @@
   std::uint64_t Chain = 0;
   for (std::size_t I = 0; I + 1 < Prompt.size(); ++I) {
     const PromptPart &Part = Prompt[I];
-    Chain = hashText({reinterpret_cast<const char *>(&Part.Id),
-                      sizeof(Part.Id)},
-                     Chain);
+    Chain = hashText(
+        {reinterpret_cast<const char *>(&Part.Id), sizeof(Part.Id)}, Chain);
     m_levels.push_back({.Chain = Chain, .Tokens = Part.Tokens});
     m_tokens += Part.Tokens;
   }
@@ -76,8 +75,7 @@
 }
 
 void EngineEstimate::learnOverhead(const Waiting &Done, TimePoint Now) {
-  const double Late =
-      std::max(toMs(Now - Done.Placed - Done.Predicted), 0.0);
+  const double Late = std::max(toMs(Now - Done.Placed - Done.Predicted), 0.0);
   m_overhead += fromMs(OverheadSmoothing * (Late - toMs(m_overhead)));
 }
 
@@ -92,8 +90,8 @@
   if (Busy < RateSampleTime)
     return;
   const double Sample = static_cast<double>(m_busyTokens) / toMs(Busy);
-  m_rate += RateSmoothing *
-            (std::clamp(Sample, LowestRate, HighestRate) - m_rate);
+  m_rate +=
+      RateSmoothing * (std::clamp(Sample, LowestRate, HighestRate) - m_rate);
   m_busyTime = Duration{0};
   m_busySince = Now;
   m_busyTokens = 0;
@@ -101,9 +99,9 @@
 
 void EngineEstimate::refillReading(double Duty, TimePoint Now) {
   if (m_readingRefilled != TimePoint{})
-    m_readingAllowance =
-        std::min(m_readingAllowance + fromMs(Duty * toMs(Now - m_readingRefilled)),
-                 ReadingBurst);
+    m_readingAllowance = std::min(
+        m_readingAllowance + fromMs(Duty * toMs(Now - m_readingRefilled)),
+        ReadingBurst);
   m_readingRefilled = Now;
 }
 
@@ -142,8 +140,7 @@
 Duration EngineEstimate::overdue(TimePoint Now) const {
   if (m_waiting.empty())
     return Duration{0};
-  const Duration Predicted =
-      timeToRead(m_waiting.front().Tokens) + m_overhead;
+  const Duration Predicted = timeToRead(m_waiting.front().Tokens) + m_overhead;
   return std::max(Now - headBegan() - Predicted, Duration{0});
 }
 
--- a/src/nutmegdrift/routing/replica_table.cpp
+++ b/src/nutmegdrift/routing/replica_table.cpp
@@ -57,7 +57,8 @@
 }
 
 void ReplicaTable::replaceAll(const std::vector<ReplicaRecord> &Records,
-                              TimePoint Now, bool Lapsed) {
+                              TimePoint Now,
+                              std::optional<TimePoint> KeepUntil) {
   std::set<ReplicaId> Listed;
   for (const ReplicaRecord &Record : Records) {
     Listed.insert(Record.Id);
@@ -68,7 +69,7 @@
     if (!Listed.contains(Id))
       Missing.push_back(Id);
   for (const ReplicaId &Id : Missing)
-    remove(Id, Now, Lapsed);
+    remove(Id, KeepUntil);
 }
 
 void ReplicaTable::upsert(const ReplicaRecord &Record, TimePoint Now) {
@@ -85,11 +86,12 @@
   ++m_generation;
 }
 
-void ReplicaTable::remove(const ReplicaId &Id, TimePoint Now, bool Lapsed) {
+void ReplicaTable::remove(const ReplicaId &Id,
+                          std::optional<TimePoint> KeepUntil) {
   if (!m_replicas.contains(Id))
     return;
-  if (Lapsed) {
-    m_leaving.try_emplace(Id, Now + LapseGrace);
+  if (KeepUntil) {
+    m_leaving.try_emplace(Id, *KeepUntil);
     return;
   }
   m_replicas.erase(Id);
@@ -103,7 +105,7 @@
     if (Until <= Now)
       Gone.push_back(Id);
   for (const ReplicaId &Id : Gone)
-    remove(Id, Now, false);
+    remove(Id, std::nullopt);
   return Gone;
 }
 
