--- a/include/nutmegdrift/routing/engine_estimate.h
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -66,6 +66,9 @@
   /// event holds several tokens, so it grows with the engine's load.
   static constexpr Duration InitialOverhead = std::chrono::milliseconds(40);
   static constexpr double OverheadSmoothing = 0.1;
+  /// Mean stay of a request, until learned.
+  static constexpr Duration InitialStay = std::chrono::milliseconds(1000);
+  static constexpr double StaySmoothing = 0.05;
   /// Reading that may be placed at once on an engine that was idle.
   static constexpr Duration ReadingBurst = std::chrono::milliseconds(300);
 
@@ -94,6 +97,8 @@
   [[nodiscard]] std::uint32_t cachedTokens(const SharedPrefix &Prefix) const;
   [[nodiscard]] Duration timeToRead(std::uint32_t Tokens) const;
   [[nodiscard]] Duration overhead() const { return m_overhead; }
+  /// Mean time that a request is at the engine.
+  [[nodiscard]] Duration meanStay() const { return m_meanStay; }
   [[nodiscard]] double tokensPerMs() const { return m_rate; }
   [[nodiscard]] std::size_t requests() const { return m_requests.size(); }
   [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
@@ -130,7 +135,12 @@
   std::uint64_t m_busyTokens = 0;
   Duration m_readingAllowance = ReadingBurst;
   TimePoint m_readingRefilled{};
-  std::unordered_map<RequestKey, std::uint64_t> m_requests; ///< Tokens of each.
+  struct Present {
+    std::uint64_t Tokens;
+    TimePoint Placed;
+  };
+  std::unordered_map<RequestKey, Present> m_requests;
+  Duration m_meanStay = InitialStay;
   std::uint64_t m_heldTokens = 0;                    ///< Sum over m_requests.
   std::unordered_map<std::uint64_t, Cached> m_cache; ///< By chain.
   std::list<std::uint64_t> m_uses;  ///< Chains, the latest used first.
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -64,6 +64,13 @@
   /// Requests that can't meet their first-token target any more may wait this
   /// much longer; the others are refused.
   Duration LateWait = std::chrono::milliseconds(20);
+  /// Time over which the service of workspaces is compared.
+  Duration FairnessTime = std::chrono::seconds(3);
+  /// A workspace that got less than this part of what it asked for, or of what
+  /// the best served one got, may have shared parts read again and wait longer.
+  double FairShare = 0.7;
+  /// Longer wait of such a workspace.
+  Duration BehindWait = std::chrono::milliseconds(400);
   /// Share of an engine's memory that requests may hold.
   double MemoryShare = 0.92;
   /// Part of the fleet's requests that this dispatcher sees. Below 1 it keeps
@@ -92,8 +99,8 @@
                          const DispatcherTotals &) = default;
 };
 
-/// Queue, placement and refusal for one model service. Workspaces get equal
-/// service (start-time fair queueing over tokens); inside a workspace requests
+/// Queue, placement and refusal for one model service. The workspace that got
+/// least in the last seconds goes first; inside a workspace requests
 /// that can still meet their target go first, by the time left for it. A
 /// request goes where its first token is predicted soonest, with shared parts
 /// that are in an engine's memory counted as read. Not thread-safe, no I/O.
@@ -137,7 +144,10 @@
   };
   struct Queue {
     std::vector<Item> Items;
-    double Served = 0.0; ///< Virtual service in tokens.
+    // Tokens of the last seconds, fading out over FairnessTime.
+    double Asked = 0.0;
+    double Got = 0.0;
+    TimePoint Faded{};
     double Tokens = 0.0; ///< Sum of ReadingTokens of Items.
   };
   struct Engine {
@@ -147,9 +157,11 @@
     TimePoint ColdUntil{};
     std::int64_t BornMillis = 0;
     ColdAllowance Cold{};
-    /// Reading time of the requests that wait for this engine. Without it each
-    /// of them would find waiting cheap, and other engines would run dry.
+    /// Reading time and number of the requests that wait for this engine.
+    /// Without them each would find waiting cheap, and other engines would run
+    /// dry.
     Duration Reserved{0};
+    std::size_t ReservedSlots = 0;
     bool Usable = true; ///< Kept for its requests when false.
   };
   struct Choice {
@@ -158,22 +170,28 @@
     Duration Cost{0};
     Duration FirstToken{0};
     Duration Reading{0};
+    Duration SlotWait{0};
     bool Now = false; ///< The engine takes it now.
   };
 
-  [[nodiscard]] Choice choose(const Item &Wanted, TimePoint Now);
+  [[nodiscard]] Choice choose(const Item &Wanted, const Queue &Of,
+                              TimePoint Now);
   /// Cost and times at one engine; Now is not set. Known: shared tokens that
   /// count as in its memory.
   [[nodiscard]] Choice price(const Item &Wanted, Engine &At,
-                             std::uint32_t Known, TimePoint Now) const;
+                             std::uint32_t Known, double RereadWeight,
+                             TimePoint Now) const;
   [[nodiscard]] const Engine *homeOf(const SharedPrefix &Prefix) const;
   void updateLoad(TimePoint Now);
+  void fade(Queue &Of, TimePoint Now) const;
+  [[nodiscard]] bool behind(const Queue &Of) const;
   [[nodiscard]] bool takes(Engine &Each, const Item &Wanted,
                            TimePoint Now) const;
   [[nodiscard]] double tokensPerMs(TimePoint Now) const;
+  [[nodiscard]] double requestsPerMs(TimePoint Now) const;
   [[nodiscard]] Duration expectedWait(const Queue &Of, double Tokens,
                                       TimePoint Now) const;
-  [[nodiscard]] Duration patience(const Item &Waiting,
+  [[nodiscard]] Duration patience(const Item &Waiting, const Queue &Of,
                                   const Choice &Best) const;
   ModelDecision refuse(const Item &Refused, Duration Wait, TimePoint Now);
   void place(const Item &Placed, const Choice &Where, TimePoint Now);
@@ -191,8 +209,8 @@
   std::map<std::string, Queue> m_queues; ///< By workspace.
   std::size_t m_queued = 0;              ///< Items in all queues.
   std::uint64_t m_pumps = 0;
-  double m_load = 0.0;        ///< Share of the engines that are busy reading.
-  double m_virtualTime = 0.0; ///< Served of the queue placed from last.
+  double m_load = 0.0;    ///< Share of the engines that are busy reading.
+  double m_bestGot = 0.0; ///< Greatest Got of a queue, as of the last pump.
   std::unordered_map<RequestKey, ReplicaId> m_placedAt;
   /// Refused requests by their own prompt part, and until when they count as
   /// returning.
--- a/src/nutmegdrift/routing/engine_estimate.cpp
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -51,7 +51,7 @@
                        .Placed = Now,
                        .Predicted = backlog(Now) + Reading});
   const std::uint64_t Held = std::uint64_t{PromptTokens} + OutputTokens;
-  m_requests[Key] = Held;
+  m_requests[Key] = {.Tokens = Held, .Placed = Now};
   m_heldTokens += Held;
   remember(Prefix);
 }
@@ -109,7 +109,9 @@
   const auto Held = m_requests.find(Key);
   if (Held == m_requests.end())
     return;
-  m_heldTokens -= Held->second;
+  m_heldTokens -= Held->second.Tokens;
+  m_meanStay += std::chrono::duration_cast<Duration>(
+      StaySmoothing * (Now - Held->second.Placed - m_meanStay));
   m_requests.erase(Held);
   const auto Found =
       std::find_if(m_waiting.begin(), m_waiting.end(),
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -21,6 +21,8 @@
 /// its home by rendezvous hashing. Dispatchers that don't know what earlier
 /// ones placed, and daemons that place alone, so choose the same engine.
 constexpr double HomeTrust = 0.5;
+/// Reading again counts this much for a workspace that is behind the others.
+constexpr double BehindRereadWeight = 0.2;
 /// Weight of the newest look in the moving share of busy engines.
 constexpr double LoadSmoothing = 0.05;
 /// Engine time is never free.
@@ -45,6 +47,19 @@
   return std::chrono::duration_cast<Duration>(Time * Factor);
 }
 
+double inMs(Duration Time) {
+  return std::chrono::duration<double, std::milli>(Time).count();
+}
+
+/// Time until a slot is free for one more request, after those that wait.
+Duration slotWait(const EngineEstimate &Estimate, std::size_t Waiting,
+                  double Share) {
+  const double Slots = std::max(1.0, Estimate.traits().Slots * Share);
+  const double Over =
+      static_cast<double>(Estimate.requests() + Waiting + 1) - Slots;
+  return Over <= 0 ? Duration{0} : scaled(Estimate.meanStay(), Over / Slots);
+}
+
 std::uint64_t ownPart(const ModelRequest &Request) {
   return Request.Prompt.empty() ? 0 : Request.Prompt.back().Id;
 }
@@ -136,6 +151,7 @@
 
 ModelDispatcher::Choice ModelDispatcher::price(const Item &Wanted, Engine &At,
                                                std::uint32_t Known,
+                                               double RereadWeight,
                                                TimePoint Now) const {
   const ModelRequest &Request = Wanted.Request;
   const EngineEstimate &Estimate = At.Estimate;
@@ -145,15 +161,17 @@
   const Duration Own = Estimate.timeToRead(Request.PromptTokens - Known);
   const Duration Waiting =
       scaled(Estimate.backlog(Now), 1.0 / m_options.Share) + At.Reserved +
+      slotWait(Estimate, At.ReservedSlots, m_options.Share) +
       scaled(Estimate.overdue(Now), OverdueWeight);
   const Duration FirstToken = Waiting + Own + Estimate.overhead();
   const Duration Left =
       scaled(Request.FirstTokenTarget, m_options.TargetShare) -
       (Now - Request.Arrived);
-  Duration Cost = scaled(Waiting, m_options.WaitWeight) +
-                  scaled(Own, std::max(m_load, LeastLoad)) +
-                  scaled(m_options.RereadCost, (Shared - Known) / 1000.0) +
-                  std::chrono::microseconds(200) * Estimate.requests();
+  Duration Cost =
+      scaled(Waiting, m_options.WaitWeight) +
+      scaled(Own, std::max(m_load, LeastLoad)) +
+      scaled(m_options.RereadCost, RereadWeight * (Shared - Known) / 1000.0) +
+      std::chrono::microseconds(200) * Estimate.requests();
   if (FirstToken > Left)
     Cost += scaled(m_options.LateCost, sizeOf(Request) / 1000.0);
   return {.Where = &At, .Cost = Cost, .FirstToken = FirstToken, .Reading = Own};
@@ -180,8 +198,24 @@
   return Home;
 }
 
-ModelDispatcher::Choice ModelDispatcher::choose(const Item &Wanted,
-                                                TimePoint Now) {
+void ModelDispatcher::fade(Queue &Of, TimePoint Now) const {
+  const double Elapsed = std::chrono::duration<double>(Now - Of.Faded).count();
+  const double Time =
+      std::chrono::duration<double>(m_options.FairnessTime).count();
+  const double Factor =
+      Of.Faded == TimePoint{} ? 0.0 : std::exp(-Elapsed / Time);
+  Of.Asked *= Factor;
+  Of.Got *= Factor;
+  Of.Faded = Now;
+}
+
+bool ModelDispatcher::behind(const Queue &Of) const {
+  return Of.Got < m_options.FairShare * std::min(Of.Asked, m_bestGot);
+}
+
+ModelDispatcher::Choice
+ModelDispatcher::choose(const Item &Wanted, const Queue &Of, TimePoint Now) {
+  const double RereadWeight = behind(Of) ? BehindRereadWeight : 1.0;
   Choice Best;
   bool BestOut = true;
   std::uint32_t Anywhere = 0;
@@ -200,7 +234,7 @@
     if (&Each == Home)
       Known += static_cast<std::uint32_t>(HomeTrust *
                                           (Wanted.Prefix.tokens() - Known));
-    Choice Here = price(Wanted, Each, Known, Now);
+    Choice Here = price(Wanted, Each, Known, RereadWeight, Now);
     if (Best.Where && Out == BestOut && Here.Cost >= Best.Cost)
       continue;
     BestOut = Out;
@@ -248,14 +282,29 @@
   // request as its own workspace does.
   const double Own = Of.Tokens + Tokens;
   double Ahead = Of.Tokens;
-  for (const auto &[Name, Each] : m_queues)
-    if (&Each != &Of)
-      Ahead += std::min(Each.Tokens, Own);
+  std::size_t RequestsAhead = Of.Items.size();
+  for (const auto &[Name, Each] : m_queues) {
+    if (&Each == &Of)
+      continue;
+    Ahead += std::min(Each.Tokens, Own);
+    RequestsAhead += std::min(Each.Items.size(), Of.Items.size() + 1);
+  }
+  const double Reading = Ahead / tokensPerMs(Now);
+  const double Slots = static_cast<double>(RequestsAhead) / requestsPerMs(Now);
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(Ahead / tokensPerMs(Now)));
+      std::chrono::duration<double, std::milli>(std::max(Reading, Slots)));
 }
 
-Duration ModelDispatcher::patience(const Item &Waiting,
+double ModelDispatcher::requestsPerMs(TimePoint Now) const {
+  double Sum = 0.0;
+  for (const auto &[Id, Each] : m_engines)
+    if (Each.Usable && !Each.Health.out(Now))
+      Sum += Each.Estimate.traits().Slots /
+             std::max(1.0, inMs(Each.Estimate.meanStay()));
+  return std::max(Sum * m_options.Share, 0.001);
+}
+
+Duration ModelDispatcher::patience(const Item &Waiting, const Queue &Of,
                                    const Choice &Best) const {
   const ModelRequest &Request = Waiting.Request;
   const Duration Reading =
@@ -263,8 +312,10 @@
                  : Duration{0};
   const Duration Target =
       std::max(Request.FirstTokenTarget, Reading + LargePromptSlack);
-  const Duration Late =
+  Duration Late =
       Waiting.Returned ? m_options.LateWait * 2 : m_options.LateWait;
+  if (behind(Of))
+    Late += m_options.BehindWait;
   return std::min<Duration>(Target + Late, Request.GivesUp - Request.Arrived);
 }
 
@@ -278,7 +329,9 @@
     m_toldToReturn.erase(Told);
   }
   Queue &Own = m_queues[Offered.Request.Workspace];
-  const Choice Best = choose(Offered, Now);
+  fade(Own, Now);
+  Own.Asked += costInTokens(Offered.Request);
+  const Choice Best = choose(Offered, Own, Now);
   const double Tokens =
       Best.Where
           ? std::chrono::duration<double, std::milli>(Best.Reading).count() *
@@ -288,11 +341,9 @@
   const Duration Wait = expectedWait(Own, Tokens, Now);
   const bool Hopeless =
       !Best.Where || (Now - Offered.Request.Arrived) + Wait + Best.FirstToken >
-                         patience(Offered, Best);
+                         patience(Offered, Own, Best);
   if (Hopeless)
     return refuse(Offered, Wait + Best.FirstToken, Now);
-  if (Own.Items.empty())
-    Own.Served = std::max(Own.Served, m_virtualTime);
   Own.Tokens += Tokens;
   Own.Items.push_back(std::move(Offered));
   ++m_queued;
@@ -378,7 +429,7 @@
     Item &Wanted = From.Items[Each.Index];
     if (Wanted.KeptInPump == m_pumps)
       continue;
-    const Choice Best = choose(Wanted, Now);
+    const Choice Best = choose(Wanted, From, Now);
     if (!Best.Where)
       continue;
     const bool CanMeet = Wanted.Returned || Now + Best.FirstToken <= Each.Due;
@@ -387,6 +438,7 @@
     if (!Best.Now) {
       Wanted.KeptInPump = m_pumps;
       Best.Where->Reserved += Best.Reading;
+      ++Best.Where->ReservedSlots;
       if (++Tried >= ItemsTried)
         return false;
       continue;
@@ -396,8 +448,7 @@
                    .Waited = Now - Wanted.Request.Arrived,
                    .Predicted = Best.FirstToken});
     place(Wanted, Best, Now);
-    m_virtualTime = From.Served;
-    From.Served += costInTokens(Wanted.Request);
+    From.Got += costInTokens(Wanted.Request);
     removeItem(From, Each.Index);
     return true;
   }
@@ -409,10 +460,10 @@
   for (auto &[Name, Each] : m_queues)
     for (std::size_t I = 0; I < Each.Items.size();) {
       const Item &Waiting = Each.Items[I];
-      const Choice Best = choose(Waiting, Now);
+      const Choice Best = choose(Waiting, Each, Now);
       const bool Hopeless =
           !Best.Where || (Now - Waiting.Request.Arrived) + Best.FirstToken >
-                             patience(Waiting, Best);
+                             patience(Waiting, Each, Best);
       if (!Hopeless) {
         ++I;
         continue;
@@ -426,8 +477,15 @@
   std::vector<ModelDecision> Out;
   updateLoad(Now);
   ++m_pumps;
-  for (auto &[Id, Each] : m_engines)
+  for (auto &[Id, Each] : m_engines) {
     Each.Reserved = Duration{0};
+    Each.ReservedSlots = 0;
+  }
+  m_bestGot = 0.0;
+  for (auto &[Name, Each] : m_queues) {
+    fade(Each, Now);
+    m_bestGot = std::max(m_bestGot, Each.Got);
+  }
   if (m_queued == 0)
     return Out;
   // Requests that can still meet their target first; late ones use what is
@@ -438,7 +496,7 @@
       Queue *Least = nullptr;
       for (auto &[Name, Each] : m_queues)
         if (!Each.Items.empty() && !Stuck.contains(&Each) &&
-            (!Least || Each.Served < Least->Served))
+            (!Least || Each.Got < Least->Got))
           Least = &Each;
       if (!Least)
         break;
