Look at a few engines for each request, and dispatch on strong VMs

Each look at up to 260 waiting requests priced 140 engines three times. Reports of first events came late, so engines seemed slow (5 tokens/ms of 50), and throughput fell to a half. Ruled out: the engines themselves, which were idle, and memory.

Change: a request is compared on the engines that hold its prefix, its home and the eight least busy ones; the list of holders is kept; a request that was kept waiting is judged by its last look; looks are 2 ms apart; only VMs with at least 0.8 of the strongest one's processor share dispatch.

--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -40,6 +40,9 @@
   /// Time between looks at waiting requests.
   static constexpr Duration PumpInterval = std::chrono::milliseconds(5);
 
+  /// Reports that come within this time are looked at together, because a look
+  /// costs the more the more requests wait.
+  static constexpr Duration LeastPumpInterval = std::chrono::milliseconds(2);
   /// Time between two lines about each dispatched service.
   static constexpr Duration SummaryInterval = std::chrono::seconds(2);
 
@@ -116,7 +119,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   net::Timer m_pumpTimer;
   net::Timer m_lookTimer;
-  bool m_pumpPosted = false;
+  TimePoint m_lastPump{};
   std::map<std::string, routing::ModelDispatcher> m_dispatchers;
   std::map<routing::RequestKey, Own> m_own;
   std::map<DaemonName, std::shared_ptr<Link>> m_links;
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -139,8 +139,11 @@
     SharedPrefix Prefix;
     bool Returned = false;      ///< Was refused before and came back in time.
     double ReadingTokens = 0.0; ///< To be read at the best engine when offered.
-    /// The last pump in which the request was kept waiting for its engine.
+    /// The last pump in which the request was kept waiting for its engine, and
+    /// the first token predicted there.
     std::uint64_t KeptInPump = 0;
+    Duration KeptFirstToken{0};
+    Duration KeptReading{0};
   };
   struct Queue {
     std::vector<Item> Items;
@@ -151,6 +154,7 @@
     double Tokens = 0.0; ///< Sum of ReadingTokens of Items.
   };
   struct Engine {
+    ReplicaId Id;
     EngineEstimate Estimate;
     std::uint64_t IdHash = 0;
     ReplicaHealth Health{};
@@ -166,7 +170,6 @@
   };
   struct Choice {
     Engine *Where = nullptr;
-    const ReplicaId *Id = nullptr;
     Duration Cost{0};
     Duration FirstToken{0};
     Duration Reading{0};
@@ -181,7 +184,12 @@
   [[nodiscard]] Choice price(const Item &Wanted, Engine &At,
                              std::uint32_t Known, double RereadWeight,
                              TimePoint Now) const;
-  [[nodiscard]] const Engine *homeOf(const SharedPrefix &Prefix) const;
+  [[nodiscard]] Engine *homeOf(const SharedPrefix &Prefix);
+  /// Engines worth a look for a request: those that hold its prefix, its home,
+  /// and the least busy ones.
+  void collectCandidates(const Item &Wanted);
+  void rankEngines(TimePoint Now);
+  void forgetEngine(const Engine &Gone);
   void updateLoad(TimePoint Now);
   void fade(Queue &Of, TimePoint Now) const;
   [[nodiscard]] bool behind(const Queue &Of) const;
@@ -192,7 +200,7 @@
   [[nodiscard]] Duration expectedWait(const Queue &Of, double Tokens,
                                       TimePoint Now) const;
   [[nodiscard]] Duration patience(const Item &Waiting, const Queue &Of,
-                                  const Choice &Best) const;
+                                  Duration Reading) const;
   ModelDecision refuse(const Item &Refused, Duration Wait, TimePoint Now);
   void place(const Item &Placed, const Choice &Where, TimePoint Now);
   bool placeOne(Queue &From, bool Late, TimePoint Now,
@@ -206,6 +214,12 @@
   Random m_random;
   double m_coldPerSecond = 0.0;
   std::map<ReplicaId, Engine> m_engines;
+  /// Engines that were given a prefix, by its last chain. Memory may have been
+  /// evicted since.
+  std::unordered_map<std::uint64_t, std::vector<Engine *>> m_holders;
+  std::vector<std::pair<Duration, Engine *>> m_ranked; ///< Least busy first.
+  TimePoint m_rankedAt{};
+  std::vector<Engine *> m_candidates;    ///< Of collectCandidates().
   std::map<std::string, Queue> m_queues; ///< By workspace.
   std::size_t m_queued = 0;              ///< Items in all queues.
   std::uint64_t m_pumps = 0;
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -14,6 +14,9 @@
 
 constexpr Duration LinkConnectTimeout = std::chrono::milliseconds(300);
 constexpr unsigned ClientShift = 32;
+/// A dispatcher decides for the whole fleet, so weaker VMs than this part of
+/// the strongest one don't.
+constexpr double LeastStrength = 0.8;
 
 RequestKey clientKey(std::uint32_t Client, std::uint64_t Sequence) {
   return (std::uint64_t{Client} << ClientShift) | (Sequence & 0xFFFFFFFFU);
@@ -31,7 +34,12 @@
   const std::uint64_t Seed = hashText(Service);
   const DispatcherCandidate *Best = nullptr;
   double BestScore = 0.0;
+  double Strongest = 0.0;
+  for (const DispatcherCandidate &Each : Among)
+    Strongest = std::max(Strongest, Each.Weight);
   for (const DispatcherCandidate &Each : Among) {
+    if (Each.Weight < Strongest * LeastStrength)
+      continue;
     const double Uniform =
         (static_cast<double>(hashText(Each.Name, Seed)) + 1.0) / HashRange;
     const double Score = -Each.Weight / std::log(std::min(Uniform, 0.9999999));
@@ -344,17 +352,16 @@
 }
 
 void Placement::schedulePump() {
-  if (m_pumpPosted)
+  if (m_pumpTimer.armed())
     return;
-  m_pumpPosted = true;
-  boost::asio::post(m_env.Loop, [this] {
-    m_pumpPosted = false;
-    pump();
-  });
+  const Duration Since = m_env.Clk.now() - m_lastPump;
+  m_pumpTimer.callAfter(std::max(LeastPumpInterval - Since, Duration{0}),
+                        [this] { pump(); });
 }
 
 void Placement::pump() {
   const TimePoint Now = m_env.Clk.now();
+  m_lastPump = Now;
   bool Waiting = false;
   for (auto &[Service, Each] : m_dispatchers) {
     for (const ModelDecision &Made : Each.pump(Now))
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -21,6 +21,10 @@
 /// its home by rendezvous hashing. Dispatchers that don't know what earlier
 /// ones placed, and daemons that place alone, so choose the same engine.
 constexpr double HomeTrust = 0.5;
+/// Least busy engines that are looked at for one request.
+constexpr std::size_t FreeCandidates = 8;
+/// The ranking of engines is made anew after this time.
+constexpr Duration RankingAge = std::chrono::milliseconds(5);
 /// Reading again counts this much for a workspace that is behind the others.
 constexpr double BehindRereadWeight = 0.2;
 /// Weight of the newest look in the moving share of busy engines.
@@ -83,6 +87,7 @@
     auto Found = m_engines.find(Each->Record.Id);
     if (Found != m_engines.end() &&
         Found->second.BornMillis != Each->Record.BornMillis) {
+      forgetEngine(Found->second);
       m_engines.erase(Found);
       Found = m_engines.end();
     }
@@ -90,6 +95,7 @@
       Found = m_engines
                   .emplace(Each->Record.Id,
                            ModelDispatcher::Engine{
+                               .Id = Each->Record.Id,
                                .Estimate = EngineEstimate(Engine, Rate),
                                .IdHash = hashText(Each->Record.Id),
                                .BornMillis = Each->Record.BornMillis})
@@ -97,9 +103,14 @@
     Found->second.Usable = true;
     Found->second.ColdUntil = Each->ColdUntil;
   }
-  std::erase_if(m_engines, [](const auto &Each) {
-    return !Each.second.Usable && Each.second.Estimate.requests() == 0;
+  std::erase_if(m_engines, [this](const auto &Each) {
+    const bool Gone =
+        !Each.second.Usable && Each.second.Estimate.requests() == 0;
+    if (Gone)
+      forgetEngine(Each.second);
+    return Gone;
   });
+  m_rankedAt = TimePoint{};
 }
 
 const EngineEstimate *ModelDispatcher::engine(const ReplicaId &Id) const {
@@ -177,14 +188,13 @@
   return {.Where = &At, .Cost = Cost, .FirstToken = FirstToken, .Reading = Own};
 }
 
-const ModelDispatcher::Engine *
-ModelDispatcher::homeOf(const SharedPrefix &Prefix) const {
+ModelDispatcher::Engine *ModelDispatcher::homeOf(const SharedPrefix &Prefix) {
   if (Prefix.levels().empty())
     return nullptr;
   const std::uint64_t Chain = Prefix.levels().back().Chain;
-  const Engine *Home = nullptr;
+  Engine *Home = nullptr;
   std::uint64_t Best = 0;
-  for (const auto &[Id, Each] : m_engines) {
+  for (auto &[Id, Each] : m_engines) {
     if (!Each.Usable)
       continue;
     // A multiplicative mix of two hashes is enough to rank the engines.
@@ -213,39 +223,96 @@
   return Of.Got < m_options.FairShare * std::min(Of.Asked, m_bestGot);
 }
 
+void ModelDispatcher::rankEngines(TimePoint Now) {
+  m_rankedAt = Now;
+  m_ranked.clear();
+  for (auto &[Id, Each] : m_engines) {
+    if (!Each.Usable)
+      continue;
+    const EngineEstimate &Estimate = Each.Estimate;
+    m_ranked.emplace_back(
+        Estimate.backlog(Now) + Estimate.overdue(Now) +
+            slotWait(Estimate, Each.ReservedSlots, m_options.Share) +
+            std::chrono::microseconds(200) * Estimate.requests(),
+        &Each);
+  }
+  std::sort(m_ranked.begin(), m_ranked.end(), [](const auto &A, const auto &B) {
+    return std::tie(A.first, A.second->Id) < std::tie(B.first, B.second->Id);
+  });
+}
+
+void ModelDispatcher::collectCandidates(const Item &Wanted) {
+  m_candidates.clear();
+  auto Add = [this](Engine *Each) {
+    if (Each->Usable && std::find(m_candidates.begin(), m_candidates.end(),
+                                  Each) == m_candidates.end())
+      m_candidates.push_back(Each);
+  };
+  if (!Wanted.Prefix.levels().empty()) {
+    const auto Holders = m_holders.find(Wanted.Prefix.levels().back().Chain);
+    if (Holders != m_holders.end()) {
+      std::erase_if(Holders->second, [&](const Engine *Each) {
+        return Each->Estimate.cachedTokens(Wanted.Prefix) <
+               Wanted.Prefix.tokens();
+      });
+      for (Engine *Each : Holders->second)
+        Add(Each);
+      if (Holders->second.empty())
+        m_holders.erase(Holders);
+    }
+  }
+  // Engines that were filled since the ranking are passed over.
+  std::size_t Free = 0;
+  for (std::size_t I = 0; I < m_ranked.size() && Free < FreeCandidates; ++I) {
+    Engine *Each = m_ranked[I].second;
+    Add(Each);
+    if (Each->Reserved == Duration{0})
+      ++Free;
+  }
+}
+
 ModelDispatcher::Choice
 ModelDispatcher::choose(const Item &Wanted, const Queue &Of, TimePoint Now) {
   const double RereadWeight = behind(Of) ? BehindRereadWeight : 1.0;
-  Choice Best;
-  bool BestOut = true;
+  collectCandidates(Wanted);
   std::uint32_t Anywhere = 0;
-  for (const auto &[Id, Each] : m_engines)
-    if (Each.Usable)
-      Anywhere = std::max(Anywhere, Each.Estimate.cachedTokens(Wanted.Prefix));
-  const Engine *Home =
+  for (const Engine *Each : m_candidates)
+    Anywhere = std::max(Anywhere, Each->Estimate.cachedTokens(Wanted.Prefix));
+  Engine *Home =
       Anywhere < Wanted.Prefix.tokens() ? homeOf(Wanted.Prefix) : nullptr;
-  for (auto &[Id, Each] : m_engines) {
-    if (!Each.Usable || Wanted.Request.Tried.contains(Id))
+  if (Home && std::find(m_candidates.begin(), m_candidates.end(), Home) ==
+                  m_candidates.end())
+    m_candidates.push_back(Home);
+  Choice Best;
+  bool BestOut = true;
+  for (Engine *Each : m_candidates) {
+    if (Wanted.Request.Tried.contains(Each->Id))
       continue;
-    const bool Out = Each.Health.out(Now);
+    const bool Out = Each->Health.out(Now);
     if (Out && !BestOut)
       continue;
-    std::uint32_t Known = Each.Estimate.cachedTokens(Wanted.Prefix);
-    if (&Each == Home)
+    std::uint32_t Known = Each->Estimate.cachedTokens(Wanted.Prefix);
+    if (Each == Home)
       Known += static_cast<std::uint32_t>(HomeTrust *
                                           (Wanted.Prefix.tokens() - Known));
-    Choice Here = price(Wanted, Each, Known, RereadWeight, Now);
+    const Choice Here = price(Wanted, *Each, Known, RereadWeight, Now);
     if (Best.Where && Out == BestOut && Here.Cost >= Best.Cost)
       continue;
     BestOut = Out;
     Best = Here;
-    Best.Id = &Id;
   }
   if (Best.Where)
     Best.Now = takes(*Best.Where, Wanted, Now);
   return Best;
 }
 
+void ModelDispatcher::forgetEngine(const Engine &Gone) {
+  for (auto &[Chain, Holders] : m_holders)
+    std::erase(Holders, &Gone);
+  std::erase_if(m_ranked,
+                [&](const auto &Each) { return Each.second == &Gone; });
+}
+
 std::string ModelDispatcher::describeEngines() const {
   constexpr std::size_t Described = 4;
   std::string Out;
@@ -305,11 +372,8 @@
 }
 
 Duration ModelDispatcher::patience(const Item &Waiting, const Queue &Of,
-                                   const Choice &Best) const {
+                                   Duration Reading) const {
   const ModelRequest &Request = Waiting.Request;
-  const Duration Reading =
-      Best.Where ? Best.Where->Estimate.timeToRead(Request.PromptTokens)
-                 : Duration{0};
   const Duration Target =
       std::max(Request.FirstTokenTarget, Reading + LargePromptSlack);
   Duration Late =
@@ -329,6 +393,8 @@
     m_toldToReturn.erase(Told);
   }
   Queue &Own = m_queues[Offered.Request.Workspace];
+  if (Now - m_rankedAt >= RankingAge)
+    rankEngines(Now);
   fade(Own, Now);
   Own.Asked += costInTokens(Offered.Request);
   const Choice Best = choose(Offered, Own, Now);
@@ -341,7 +407,7 @@
   const Duration Wait = expectedWait(Own, Tokens, Now);
   const bool Hopeless =
       !Best.Where || (Now - Offered.Request.Arrived) + Wait + Best.FirstToken >
-                         patience(Offered, Own, Best);
+                         patience(Offered, Own, Best.Reading);
   if (Hopeless)
     return refuse(Offered, Wait + Best.FirstToken, Now);
   Own.Tokens += Tokens;
@@ -389,8 +455,13 @@
                             TimePoint Now) {
   const std::uint32_t Known = Where.Where->Estimate.cachedTokens(Placed.Prefix);
   std::uint32_t Anywhere = Known;
-  for (const auto &[Id, Each] : m_engines)
-    Anywhere = std::max(Anywhere, Each.Estimate.cachedTokens(Placed.Prefix));
+  if (!Placed.Prefix.levels().empty()) {
+    auto &Holders = m_holders[Placed.Prefix.levels().back().Chain];
+    for (const Engine *Each : Holders)
+      Anywhere = std::max(Anywhere, Each->Estimate.cachedTokens(Placed.Prefix));
+    if (std::find(Holders.begin(), Holders.end(), Where.Where) == Holders.end())
+      Holders.push_back(Where.Where);
+  }
   ++m_totals.Placed;
   m_totals.TokensKnown += Known;
   m_totals.TokensReread += Anywhere - Known;
@@ -403,7 +474,7 @@
                                Placed.Request.OutputTokens, Now);
   if (Now < Where.Where->ColdUntil && m_coldPerSecond > 0)
     Where.Where->Cold.take();
-  m_placedAt[Placed.Request.Key] = *Where.Id;
+  m_placedAt[Placed.Request.Key] = Where.Where->Id;
 }
 
 bool ModelDispatcher::placeOne(Queue &From, bool Late, TimePoint Now,
@@ -437,6 +508,8 @@
       continue;
     if (!Best.Now) {
       Wanted.KeptInPump = m_pumps;
+      Wanted.KeptFirstToken = Best.FirstToken;
+      Wanted.KeptReading = Best.Reading;
       Best.Where->Reserved += Best.Reading;
       ++Best.Where->ReservedSlots;
       if (++Tried >= ItemsTried)
@@ -444,7 +517,7 @@
       continue;
     }
     Out.push_back({.Key = Wanted.Request.Key,
-                   .Where = *Best.Id,
+                   .Where = Best.Where->Id,
                    .Waited = Now - Wanted.Request.Arrived,
                    .Predicted = Best.FirstToken});
     place(Wanted, Best, Now);
@@ -459,12 +532,19 @@
                                      std::vector<ModelDecision> &Out) {
   for (auto &[Name, Each] : m_queues)
     for (std::size_t I = 0; I < Each.Items.size();) {
-      const Item &Waiting = Each.Items[I];
+      Item &Waiting = Each.Items[I];
+      const Duration Waited = Now - Waiting.Request.Arrived;
+      // Judged by the last look first, because most requests can wait on.
+      if (Waited + Waiting.KeptFirstToken <=
+          patience(Waiting, Each, Waiting.KeptReading)) {
+        ++I;
+        continue;
+      }
       const Choice Best = choose(Waiting, Each, Now);
-      const bool Hopeless =
-          !Best.Where || (Now - Waiting.Request.Arrived) + Best.FirstToken >
-                             patience(Waiting, Each, Best);
-      if (!Hopeless) {
+      Waiting.KeptFirstToken = Best.FirstToken;
+      Waiting.KeptReading = Best.Reading;
+      if (Best.Where &&
+          Waited + Best.FirstToken <= patience(Waiting, Each, Best.Reading)) {
         ++I;
         continue;
       }
@@ -481,6 +561,7 @@
     Each.Reserved = Duration{0};
     Each.ReservedSlots = 0;
   }
+  rankEngines(Now);
   m_bestGot = 0.0;
   for (auto &[Name, Each] : m_queues) {
     fade(Each, Now);
@@ -523,9 +604,15 @@
   const auto Found = m_engines.find(Where);
   if (Found == m_engines.end() || m_placedAt.contains(Request.Key))
     return;
-  Found->second.Estimate.placed(Request.Key, SharedPrefix(Request.Prompt),
-                                Request.PromptTokens, Request.OutputTokens,
-                                Now);
+  const SharedPrefix Prefix(Request.Prompt);
+  if (!Prefix.levels().empty()) {
+    auto &Holders = m_holders[Prefix.levels().back().Chain];
+    if (std::find(Holders.begin(), Holders.end(), &Found->second) ==
+        Holders.end())
+      Holders.push_back(&Found->second);
+  }
+  Found->second.Estimate.placed(Request.Key, Prefix, Request.PromptTokens,
+                                Request.OutputTokens, Now);
   m_placedAt[Request.Key] = Where;
 }
 
@@ -558,8 +645,10 @@
     }
   Where.Health.note(Outcome,
                     Others == 0 ? 1.0 : Sum / static_cast<double>(Others), Now);
-  if (!Where.Usable && Where.Estimate.requests() == 0)
+  if (!Where.Usable && Where.Estimate.requests() == 0) {
+    forgetEngine(Where);
     m_engines.erase(Found);
+  }
 }
 
 } // namespace nutmegdrift::routing
