--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -122,6 +122,7 @@
   bool m_passOn = false;     ///< Pass the stream on byte for byte.
 
   TimePoint m_sentAt{};
+  Duration m_predicted{0}; ///< First token after the decision, if known here.
   net::Timer m_limitTimer;
   net::Timer m_silenceTimer;
   bool m_over = false;
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -248,6 +248,7 @@
 void Call::onModelDecision(const routing::ModelDecision &Made) {
   m_env.Metrics.placementWait(
       std::chrono::duration<double>(Made.Waited).count());
+  m_predicted = Made.Predicted;
   if (Made.Where.empty()) {
     m_placement.reset();
     refuseModel(Made);
@@ -403,6 +404,19 @@
       std::chrono::duration<double>(m_env.Clk.now() - m_exchange->received())
           .count();
   m_env.Metrics.firstByte(FirstByte);
+  const Duration Held = m_env.Clk.now() - m_exchange->received();
+  if (m_route->FirstByteTarget.count() > 0 && Held > m_route->FirstByteTarget)
+    m_env.Log.line(LogClass::Request, "request.late",
+                   {{"request", m_facts.Id},
+                    {"route", m_route->Name},
+                    {"replica", m_replica},
+                    {"dispatcher", m_env.Models.dispatcherOf(m_service)},
+                    {"target_ms", text(m_route->FirstByteTarget)},
+                    {"first_byte_ms", text(Held)},
+                    {"waited_ms", text(m_sentAt - m_exchange->received())},
+                    {"predicted_ms", text(m_predicted)},
+                    {"prompt_tokens", std::to_string(m_facts.PromptTokens)},
+                    {"replicas_tried", std::to_string(m_tried.size())}});
   if (m_placement)
     m_env.Models.started(*m_placement);
   m_exchange->begin(m_head->Status,
