--- a/include/nutmegdrift/gateway/endpoint_pool.h
+++ b/include/nutmegdrift/gateway/endpoint_pool.h
@@ -34,8 +34,13 @@
   EndpointPool(net::EventLoop &Loop, const Clock &Clk)
       : m_loop(Loop), m_clock(Clk) {}
 
+  /// Longest rest of a connection that carries a request which may run once
+  /// only: if the replica closes it meanwhile, nobody knows whether it ran.
+  static constexpr Duration RunOnceRest = std::chrono::milliseconds(200);
+
   /// A connection that is not busy, or null if the replica's bound is reached.
-  Connection acquire(const routing::ReplicaRecord &Replica, unsigned Bound);
+  Connection acquire(const routing::ReplicaRecord &Replica, unsigned Bound,
+                     bool MayRepeat);
   /// Gives a connection back; it is kept if it can carry another request.
   void release(const routing::ReplicaId &Replica, const Connection &Used);
   /// Notes how a request on a reused connection went.
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -307,7 +307,8 @@
           .first->second;
   if (m_sends == 0)
     Budget.onFirstTry(m_env.Clk.now());
-  m_connection = m_env.Pool.acquire(Chosen->Record, Bound);
+  m_connection = m_env.Pool.acquire(Chosen->Record, Bound,
+                                    routing::mayRepeat(m_route->Kind));
   m_replica = To;
   m_head.reset();
   m_body.clear();
@@ -521,6 +522,7 @@
 
 void Call::attemptFailed(ReplicaOutcome Outcome, std::string_view Cause) {
   const routing::ReplicaId Replica = m_replica;
+  const bool Reused = m_connection && m_connection->reused();
   m_mayHaveRun = true;
   releaseReplica(Outcome);
   if (tryAgain(true, Cause))
@@ -531,6 +533,7 @@
                   {"replica", Replica},
                   {"cause", std::string(Cause)},
                   {"streaming", m_streaming ? "yes" : "no"},
+                  {"reused_connection", Reused ? "yes" : "no"},
                   {"replicas_tried", std::to_string(m_tried.size())},
                   {"after_ms", text(m_env.Clk.now() - m_sentAt)}});
   giveAnswer({ErrorKind::EndpointFailed,
--- a/src/nutmegdrift/gateway/endpoint_pool.cpp
+++ b/src/nutmegdrift/gateway/endpoint_pool.cpp
@@ -21,13 +21,16 @@
 }
 
 EndpointPool::Connection
-EndpointPool::acquire(const routing::ReplicaRecord &Replica, unsigned Bound) {
+EndpointPool::acquire(const routing::ReplicaRecord &Replica, unsigned Bound,
+                      bool MayRepeat) {
   PerReplica &Of = m_replicas[Replica.Id];
   const TimePoint Now = m_clock.now();
   while (!Of.Idle.empty()) {
     const Connection Latest = Of.Idle.back();
     Of.Idle.pop_back();
     Duration Limit = m_restLimit.value();
+    if (!MayRepeat)
+      Limit = std::min(Limit, RunOnceRest);
     if (const auto Announced = Latest->announcedIdle())
       Limit = std::min(Limit, std::chrono::duration_cast<Duration>(
                                   *Announced * AnnouncedShare));
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -520,6 +520,23 @@
   EXPECT_TRUE(Stopped);
 }
 
+TEST_F(GatewayFixture, ARequestThatRunsOnceTakesNoRestedConnection) {
+  // The replica had closed the connection meanwhile, and a payment was answered
+  // with 502 though it may have run.
+  apply();
+  replica(good);
+  auto Opened = [&] { return call("/metrics", {}, Settings.Metrics).Body; };
+  call("/once/x");
+  const auto Rested = Clk.now() + EndpointPool::RunOnceRest + 50ms;
+  runUntil([&] { return Clk.now() > Rested; });
+  call("/safe/x");
+  EXPECT_NE(Opened().find("connections-opened\"} 1"), std::string::npos);
+  const auto Again = Clk.now() + EndpointPool::RunOnceRest + 50ms;
+  runUntil([&] { return Clk.now() > Again; });
+  call("/once/x");
+  EXPECT_NE(Opened().find("connections-opened\"} 2"), std::string::npos);
+}
+
 TEST_F(GatewayFixture, EachRefusalHasALineWithItsRequest) {
   apply();
   call("/safe/x", {{"Id", "lost-one"}});
