Let broken streams go on under overload

Change: a repeated request goes first and is not refused before its caller gives up; a resumed stream waits from its last event on. The unit test fails without.

--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -58,6 +58,7 @@
   /// The replica that it runs at already, when told to a new dispatcher.
   routing::ReplicaId RunsAt;
   bool Started = false;
+  bool Repeated = false; ///< See routing::ModelRequest.
 
   friend bool operator==(const PlaceRequest &, const PlaceRequest &) = default;
 };
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -25,6 +25,9 @@
   Duration FirstTokenTarget{0};
   TimePoint GivesUp{}; ///< The caller leaves without a first token by then.
   std::set<ReplicaId> Tried{};
+  /// Another replica failed it. It goes first and is not refused before the
+  /// caller gives up, because part of its answer may be with the caller.
+  bool Repeated = false;
 
   friend bool operator==(const ModelRequest &, const ModelRequest &) = default;
 };
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -228,15 +228,19 @@
     Target = DefaultTarget;
   const Duration Patience =
       std::max<Duration>(LeastPatience, Target * PatienceFactor);
-  routing::ModelRequest Request{
-      .Workspace = m_workspace ? *m_workspace : std::string(),
-      .Prompt = m_facts.Prompt,
-      .PromptTokens = m_facts.PromptTokens,
-      .OutputTokens = m_facts.OutputTokens,
-      .Arrived = m_exchange->received(),
-      .FirstTokenTarget = Target,
-      .GivesUp = std::min(m_exchange->received() + Patience, m_limit),
-      .Tried = m_tried};
+  // The caller of a stream that broke waits from its last event on.
+  const TimePoint Began =
+      m_streaming ? m_env.Clk.now() : m_exchange->received();
+  routing::ModelRequest Request{.Workspace =
+                                    m_workspace ? *m_workspace : std::string(),
+                                .Prompt = m_facts.Prompt,
+                                .PromptTokens = m_facts.PromptTokens,
+                                .OutputTokens = m_facts.OutputTokens,
+                                .Arrived = Began,
+                                .FirstTokenTarget = Target,
+                                .GivesUp = std::min(Began + Patience, m_limit),
+                                .Tried = m_tried,
+                                .Repeated = m_sends > 0};
   m_placement = m_env.Models.place(
       m_service, std::move(Request),
       [Self = shared_from_this()](const routing::ModelDecision &Made) {
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// Changes with the form of any message.
-constexpr int FormatVersion = 1;
+constexpr int FormatVersion = 2;
 /// Larger frames are no messages of ours.
 constexpr std::size_t MaxFrameBytes = std::size_t{1} << 20U;
 constexpr std::size_t LengthBytes = 4;
@@ -56,7 +56,8 @@
            M.GivesUpIn.count(),
            M.Tried,
            M.RunsAt,
-           M.Started};
+           M.Started,
+           M.Repeated};
     return Out;
   }
   json operator()(const WithdrawRequest &M) const {
@@ -89,7 +90,8 @@
           .GivesUpIn = Milliseconds(V.at(9).get<std::int64_t>()),
           .Tried = V.at(10).get<std::vector<std::string>>(),
           .RunsAt = V.at(11).get<std::string>(),
-          .Started = V.at(12).get<bool>()};
+          .Started = V.at(12).get<bool>(),
+          .Repeated = V.at(13).get<bool>()};
 }
 
 PlacementMessage messageOf(const json &V) {
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -302,7 +302,8 @@
                         .Age = toMs(Now - Asked.Arrived),
                         .Target = toMs(Asked.FirstTokenTarget),
                         .GivesUpIn = toMs(Asked.GivesUp - Now),
-                        .Tried = {Asked.Tried.begin(), Asked.Tried.end()}});
+                        .Tried = {Asked.Tried.begin(), Asked.Tried.end()},
+                        .Repeated = Asked.Repeated});
   return Key;
 }
 
@@ -512,7 +513,8 @@
         .Arrived = Now - Asked->Age,
         .FirstTokenTarget = Asked->Target,
         .GivesUp = Now + Asked->GivesUpIn,
-        .Tried = {Asked->Tried.begin(), Asked->Tried.end()}};
+        .Tried = {Asked->Tried.begin(), Asked->Tried.end()},
+        .Repeated = Asked->Repeated};
     routing::ModelDispatcher &Of = dispatcher(Asked->Service);
     From.requests()[Asked->Sequence] = Asked->Service;
     if (!Asked->RunsAt.empty()) {
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -374,6 +374,8 @@
 Duration ModelDispatcher::patience(const Item &Waiting, const Queue &Of,
                                    Duration Reading) const {
   const ModelRequest &Request = Waiting.Request;
+  if (Request.Repeated)
+    return Request.GivesUp - Request.Arrived;
   const Duration Target =
       std::max(Request.FirstTokenTarget, Reading + LargePromptSlack);
   Duration Late =
@@ -387,9 +389,10 @@
                                                     TimePoint Now) {
   Item Offered{.Request = std::move(Request)};
   Offered.Prefix = SharedPrefix(Offered.Request.Prompt);
+  Offered.Returned = Offered.Request.Repeated;
   const auto Told = m_toldToReturn.find(ownPart(Offered.Request));
   if (Told != m_toldToReturn.end()) {
-    Offered.Returned = Now < Told->second;
+    Offered.Returned = Offered.Returned || Now < Told->second;
     m_toldToReturn.erase(Told);
   }
   Queue &Own = m_queues[Offered.Request.Workspace];
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -323,6 +323,30 @@
   EXPECT_GT(Placed["flood"], Placed["small"]);
 }
 
+TEST_F(DispatcherFixture, ABrokenStreamGoesOnEvenUnderOverload) {
+  // Load: a quarter of the engines crash under a flood. Streams that could go
+  // on elsewhere were refused because their callers had come seconds ago.
+  replicas(1);
+  for (int I = 0; I < 30; ++I)
+    Dispatcher.offer(request("flood", 100 + LastKey, 0, 4000), Now);
+  ModelRequest Broken = request("w", 1, 100, 500);
+  Broken.Repeated = true;
+  Broken.Arrived = Now - 1s;
+  Broken.GivesUp = Now + 2s;
+  const RequestKey Key = Broken.Key;
+  EXPECT_FALSE(Dispatcher.offer(std::move(Broken), Now));
+  bool Placed = false;
+  for (int Step = 0; Step < 150 && !Placed; ++Step) {
+    Dispatcher.offer(request("w", 100 + LastKey, 0, 3000), Now);
+    const auto Made = Dispatcher.pump(Now);
+    for (const ModelDecision &Each : Made)
+      Placed = Placed || (Each.Key == Key && !Each.Where.empty());
+    serve(Made);
+    Now += 10ms;
+  }
+  EXPECT_TRUE(Placed);
+}
+
 TEST_F(DispatcherFixture, AColdReplicaGetsNoMoreThanItBears) {
   std::vector<ReplicaRecord> Records{record("r0")};
   Records[0].ColdRemaining = 5s;
