Don't send requests whose callers have already left

On a busy VM the loop reads a request and comes to the end of the same connection later.

Change: before a request is sent, the caller's socket is looked at for its end. The test fails without it.

--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -45,6 +45,9 @@
   void write(std::string_view Bytes);
   [[nodiscard]] std::size_t unsentBytes() const { return m_out.size(); }
   [[nodiscard]] bool open() const { return m_listener && m_connected; }
+  /// Whether the peer's end of the connection has arrived, behind no unread
+  /// bytes, though the loop has not come to it yet.
+  [[nodiscard]] bool peerEnded();
   /// Ends the sending side after the buffered bytes.
   void finishWriting();
   /// Detaches the listener and closes the connection.
--- a/include/nutmegdrift/net/client_connection.h
+++ b/include/nutmegdrift/net/client_connection.h
@@ -43,6 +43,7 @@
   void close();
   /// Whether a request is under way.
   [[nodiscard]] bool busy() const { return m_busy; }
+  [[nodiscard]] bool connected() const { return m_stream && m_stream->open(); }
   /// Whether another request may be sent on the open connection.
   [[nodiscard]] bool reusable() const;
   /// Whether the current request went onto a connection used before.
--- a/include/nutmegdrift/net/http_server.h
+++ b/include/nutmegdrift/net/http_server.h
@@ -33,6 +33,9 @@
   [[nodiscard]] bool begun() const { return m_begun; }
   [[nodiscard]] bool open() const { return !m_connection.expired() && !m_done; }
   [[nodiscard]] std::size_t unsentBytes() const;
+  /// Whether the caller has closed its connection, also if the loop has not
+  /// come to that yet.
+  [[nodiscard]] bool callerGone() const;
 
   /// Called when the caller closed its connection before the answer's end.
   std::function<void()> OnCallerGone{};
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -294,6 +294,11 @@
 }
 
 void Call::send(const routing::ReplicaId &To) {
+  // On a busy VM the loop may come to the caller's close much later.
+  if (m_exchange->callerGone()) {
+    onCallerGone();
+    return;
+  }
   routing::Replica *Chosen = m_env.State.Replicas.find(To);
   m_tried.insert(To);
   const routing::Service *Of = service();
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -499,6 +499,23 @@
   EXPECT_FALSE(Only.Kept.back()->open());
 }
 
+TEST_F(GatewayFixture, ARequestWhoseCallerHasLeftIsNotSent) {
+  // On a VM that was busy for over half a second, requests were read together
+  // with the end of their connections and still sent on.
+  apply();
+  auto &Only = replica(good);
+  Caller = std::make_shared<net::ClientConnection>(Loop, Clk, Settings.Front);
+  Caller->send("GET /safe/x HTTP/1.1\r\nHost: h\r\nId: i\r\n\r\n", 1s, {});
+  // The connection is made and the request written, but the gateway's loop has
+  // not read it when the caller closes.
+  while (Lines.empty() || !Caller->connected())
+    Loop.run_one_for(20ms);
+  Caller->close();
+  const auto End = Clk.now() + 200ms;
+  runUntil([&] { return Clk.now() > End; });
+  EXPECT_EQ(Only.Requests, 0);
+}
+
 TEST_F(GatewayFixture, AStopLeavesTheDirectoryAndServesWhatIsUnderWay) {
   apply();
   auto &Only = replica([](net::ServerExchange &) {});
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/buffer.hpp>
 
 #include <array>
+#include <cerrno>
+
+#include <sys/socket.h>
 
 namespace nutmegdrift::net {
 
@@ -170,6 +173,18 @@
       });
 }
 
+bool ByteStream::peerEnded() {
+  if (!open())
+    return true;
+  char Next = 0;
+  const ssize_t Got =
+      ::recv(m_socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Got > 0)
+    return false;
+  return Got == 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void ByteStream::finishWriting() {
   m_finishing = true;
   if (m_out.empty())
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -273,6 +273,11 @@
   return Connection ? Connection->stream().unsentBytes() : 0;
 }
 
+bool ServerExchange::callerGone() const {
+  const auto Connection = m_connection.lock();
+  return !Connection || Connection->stream().peerEnded();
+}
+
 HttpServer::HttpServer(EventLoop &Loop, const Clock &Clk, Handler OnRequest)
     : m_loop(Loop), m_clock(Clk), m_handler(std::move(OnRequest)),
       m_acceptor(Loop), m_acceptRetry(Loop) {}
