--- a/include/nutmegdrift/net/client_connection.h
+++ b/include/nutmegdrift/net/client_connection.h
@@ -37,7 +37,7 @@
   ~ClientConnection() override;
 
   /// Sends a request, connecting first if needed. Not while busy().
-  void send(std::string Bytes, Duration ConnectTimeout, Events Callbacks,
+  void send(const std::string &Bytes, Duration ConnectTimeout, Events Callbacks,
             bool HeadOnly = false);
   /// Closes without further callbacks.
   void close();
--- a/src/nutmegdrift/gateway/endpoint_pool.cpp
+++ b/src/nutmegdrift/gateway/endpoint_pool.cpp
@@ -26,7 +26,7 @@
   PerReplica &Of = m_replicas[Replica.Id];
   const TimePoint Now = m_clock.now();
   while (!Of.Idle.empty()) {
-    const Connection Latest = Of.Idle.back();
+    Connection Latest = Of.Idle.back();
     Of.Idle.pop_back();
     Duration Limit = m_restLimit.value();
     if (!MayRepeat)
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -63,21 +63,22 @@
               .Daemons = [this] { return daemons(); },
               .Started = Clk.now()},
       m_front(Loop, Clk,
-              [this](std::shared_ptr<net::ServerExchange> Exchange) {
+              [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
                 onRequest(Exchange);
               }),
       m_readiness(Loop, Clk,
-                  [this](std::shared_ptr<net::ServerExchange> Exchange) {
+                  [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
                     onReadiness(*Exchange);
                   }),
       m_directory(Loop, Clk,
-                  [this](std::shared_ptr<net::ServerExchange> Exchange) {
+                  [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
                     onDirectory(*Exchange);
                   }),
-      m_metricsServer(Loop, Clk,
-                      [this](std::shared_ptr<net::ServerExchange> Exchange) {
-                        onMetrics(*Exchange);
-                      }),
+      m_metricsServer(
+          Loop, Clk,
+          [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
+            onMetrics(*Exchange);
+          }),
       m_tickTimer(Loop) {}
 
 Gateway::~Gateway() = default;
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -135,6 +135,7 @@
 
 TEST(ChooseDispatcher, MovesFewServicesWhenADaemonLeaves) {
   std::vector<DispatcherCandidate> All;
+  All.reserve(10);
   for (int I = 0; I < 10; ++I)
     All.push_back({.Name = "d" + std::to_string(I)});
   std::vector<DispatcherCandidate> Fewer(All.begin(), All.end() - 1);
@@ -203,14 +204,15 @@
 public:
   using Reaction = std::function<void(net::ServerExchange &)>;
 
-  ScriptedReplica(net::EventLoop &Loop, const Clock &Clk, Reaction React)
-      : m_server(Loop, Clk,
-                 [this, React](std::shared_ptr<net::ServerExchange> Each) {
-                   ++Requests;
-                   Seen = Each->request().Headers;
-                   Kept.push_back(Each);
-                   React(*Each);
-                 }) {
+  ScriptedReplica(net::EventLoop &Loop, const Clock &Clk, const Reaction &React)
+      : m_server(
+            Loop, Clk,
+            [this, React](const std::shared_ptr<net::ServerExchange> &Each) {
+              ++Requests;
+              Seen = Each->request().Headers;
+              Kept.push_back(Each);
+              React(*Each);
+            }) {
     EXPECT_TRUE(m_server.listen({.Host = "127.0.0.1", .Port = 0}));
   }
   HostPort address() const {
@@ -274,9 +276,8 @@
          .Services = {{.Name = "s"}},
          .Workspaces = std::move(Workspaces)});
   }
-  ScriptedReplica &replica(ScriptedReplica::Reaction React) {
-    Replicas.push_back(
-        std::make_unique<ScriptedReplica>(Loop, Clk, std::move(React)));
+  ScriptedReplica &replica(const ScriptedReplica::Reaction &React) {
+    Replicas.push_back(std::make_unique<ScriptedReplica>(Loop, Clk, React));
     Gate->state().Replicas.upsert({.Id = "r" + std::to_string(Replicas.size()),
                                    .Service = "s",
                                    .Address = Replicas.back()->address(),
@@ -300,7 +301,7 @@
     std::optional<net::ClientFailure> Failure;
   };
   Answer call(const std::string &Path, net::HeaderList Extra = {},
-              std::optional<HostPort> To = std::nullopt) {
+              const std::optional<HostPort> &To = std::nullopt) {
     Answer Got;
     bool Done = false;
     Caller = std::make_shared<net::ClientConnection>(
--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -46,7 +46,7 @@
 
 ClientConnection::~ClientConnection() { close(); }
 
-void ClientConnection::send(std::string Bytes, Duration ConnectTimeout,
+void ClientConnection::send(const std::string &Bytes, Duration ConnectTimeout,
                             Events Callbacks, bool HeadOnly) {
   m_events = std::move(Callbacks);
   m_busy = true;
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -222,7 +222,8 @@
   EventLoop Loop{1};
   SystemClock Clk;
   std::vector<std::shared_ptr<ServerExchange>> Exchanges;
-  HttpServer Server{Loop, Clk, [this](std::shared_ptr<ServerExchange> Each) {
+  HttpServer Server{Loop, Clk,
+                    [this](const std::shared_ptr<ServerExchange> &Each) {
                       Exchanges.push_back(Each);
                       if (Answer)
                         Answer(*Each);
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -181,6 +181,7 @@
 struct DispatcherFixture : ::testing::Test {
   void replicas(int Count) {
     std::vector<ReplicaRecord> Records;
+    Records.reserve(static_cast<std::size_t>(Count));
     for (int I = 0; I < Count; ++I)
       Records.push_back(record("r" + std::to_string(I)));
     Table.replaceAll(Records, Now, std::nullopt);
