Count a crash although the endpoint's port still accepts

Cause: after a broken connection the daemon looked whether the endpoint accepts a connection. A process that ends drops its connections before its listening socket closes, and until then the kernel accepts, so the crash was not counted. Ruled out: the counting itself, which policy_test covers and which the other runs of the test pass. The daemon now asks for the health check; an accepted connection that is closed without an answer counts as a crash, one that stays silent does not.

--- a/fakes/fake_support.h
+++ b/fakes/fake_support.h
@@ -97,6 +97,8 @@
 struct Faults {
   std::string CrashOn;    ///< "crash_on": falls over on a body containing this.
   Millis Down{1000};      ///< "down_ms": time refusing after a fall; 0: exit.
+  Millis AcceptLag{0};    ///< "accept_lag_ms": time after a fall for which
+                          ///< connections are still accepted, then dropped.
   double Slow = 1.0;      ///< "slow": factor on all times.
   double ErrorRate = 0.0; ///< "error_rate": share answered with 500.
   int ErrorAbove = 0;     ///< "error_above": errors only above this load.
@@ -114,6 +116,7 @@
     F = {};
   F.CrashOn = In.value("crash_on", F.CrashOn);
   F.Down = Millis(In.value("down_ms", F.Down.count()));
+  F.AcceptLag = Millis(In.value("accept_lag_ms", F.AcceptLag.count()));
   F.Slow = In.value("slow", F.Slow);
   F.ErrorRate = In.value("error_rate", F.ErrorRate);
   F.ErrorAbove = In.value("error_above", F.ErrorAbove);
@@ -505,6 +508,7 @@
                                Params);
   Server.start();
   State.awaitFall();
+  std::this_thread::sleep_for(State.faults().AcceptLag);
   // The server's accept loop notices stop() only after its poll of 250 ms;
   // shutting down the listening socket refuses connections at once.
   Socket.impl()->shutdownReceive();
--- a/include/nutmegdrift/proxy/suspect_filter.h
+++ b/include/nutmegdrift/proxy/suspect_filter.h
@@ -29,9 +29,10 @@
   void started(policy::Fingerprint Request, const config::ReplicaId &Where);
   void ended(policy::Fingerprint Request, const config::ReplicaId &Where);
   /// Called when the connection to a replica broke while requests ran. If the
-  /// replica does not accept connections any more, the crash is counted
-  /// against all that ran on it, and the other daemons are told before this
-  /// returns, so that a resend through one of them finds the count.
+  /// replica refuses connections or closes one without an answer to a health
+  /// check, the crash is counted against all that ran on it, and the other
+  /// daemons are told before this returns, so that a resend through one of
+  /// them finds the count.
   void connectionBroke(const config::Replica &Where);
   void merge(const std::vector<policy::SuspectEntry> &Entries);
 
--- a/src/nutmegdrift/proxy/suspect_filter.cpp
+++ b/src/nutmegdrift/proxy/suspect_filter.cpp
@@ -1,7 +1,9 @@
 #include "nutmegdrift/proxy/suspect_filter.h"
 
+#include "nutmegdrift/proxy/endpoint_session.h"
+
+#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
 
@@ -9,14 +11,31 @@
 
 namespace {
 
-/// A running endpoint accepts a connection well within this time.
+/// A running endpoint accepts a connection and answers its health check well
+/// within this time.
 constexpr long ProbeTimeoutMicros = 300'000;
 
-bool acceptsConnections(const config::Replica &Where) {
+/// Whether the endpoint's process still serves. An accepted connection is no
+/// proof: a process that ends closes its listening socket after others, and
+/// until then the kernel accepts. One that accepts and stays silent may be
+/// busy, and counts as serving.
+bool stillServes(const config::Replica &Where) {
+  EndpointSession Session(Where.Address.Host, Where.Address.Port);
+  try {
+    Session.open({Where.Address.Host, Where.Address.Port},
+                 Poco::Timespan(ProbeTimeoutMicros));
+  } catch (const Poco::Exception &) {
+    return false;
+  }
   try {
-    Poco::Net::StreamSocket Socket;
-    Socket.connect({Where.Address.Host, Where.Address.Port},
-                   Poco::Timespan(ProbeTimeoutMicros));
+    Session.socket().setReceiveTimeout(Poco::Timespan(ProbeTimeoutMicros));
+    Poco::Net::HTTPRequest Probe("GET", "/health",
+                                 Poco::Net::HTTPRequest::HTTP_1_1);
+    Session.sendRequest(Probe).flush();
+    Poco::Net::HTTPResponse Answer;
+    Session.receiveHead(Answer);
+    return true;
+  } catch (const Poco::TimeoutException &) {
     return true;
   } catch (const Poco::Exception &) {
     return false;
@@ -60,7 +79,7 @@
 }
 
 void SuspectDesk::connectionBroke(const config::Replica &Where) {
-  if (acceptsConnections(Where))
+  if (stillServes(Where))
     return;
   std::vector<policy::SuspectEntry> Changed;
   {
--- a/tests/crash_suspect_test.cpp
+++ b/tests/crash_suspect_test.cpp
@@ -81,6 +81,20 @@
   EXPECT_LE(Lost, MaxEndpointsLost);
 }
 
+// An ending process drops its connections before its listening socket closes.
+// A connection that is accepted meanwhile must not hide the crash, or the
+// request goes on to crash more endpoints.
+TEST_F(CrashSuspect, CrashCountsThoughThePortStillAccepts) {
+  for (std::size_t I = 0; I < Engines; ++I)
+    LoopbackFleet::faults(m_fleet.endpoint(I), {{"accept_lag_ms", 500}});
+  for (int I = 0; I < Resends; ++I)
+    EXPECT_NE(send(static_cast<std::size_t>(I)).Status, 200);
+  EXPECT_EQ(errorOf(send(0)), "suspected-crash");
+  const auto Lost = falls();
+  EXPECT_GE(Lost, 1);
+  EXPECT_LE(Lost, MaxEndpointsLost);
+}
+
 // The daemon's own retries count like the caller's resends: with a full retry
 // budget one send must not go through all engines.
 TEST_F(CrashSuspect, RetriesOfOneSendLoseAtMostTwoEndpoints) {
