Don't let late take-overs and lone confirmations exceed a replica's limit

Ruled out: half of the settle time as the bound for recording; a confirmation may last 4.5 s of the 5.5 s that settling takes. The sequences are tests; each broke the limit before the change it belongs to. The check is unchanged.

--- a/include/nutmegdrift/control/membership_controller.h
+++ b/include/nutmegdrift/control/membership_controller.h
@@ -85,7 +85,7 @@
   /// Whether the platform is down and a majority of the cell confirms it now.
   [[nodiscard]] bool outageConfirmed() const;
   /// Whether the platform was unreadable for lease plus margin without a
-  /// break, so that every lease has run out.
+  /// break, here and at the peers heard, so that every lease has run out.
   [[nodiscard]] bool leasesOver() const;
   /// Whether Owner may have a majority of the cell, itself included, that
   /// reports that it cannot read the platform.
@@ -182,6 +182,7 @@
   std::uint64_t m_writes = 0;               ///< Part of the nonce.
   std::optional<TimePoint> m_lastRead;      ///< Empty after a failed read.
   std::optional<TimePoint> m_lastFailure;   ///< Of a read.
+  TimePoint m_peerReadAt{}; ///< Last echo that says a peer reads the platform.
   std::optional<TimePoint> m_readableSince; ///< Without a gap.
   std::optional<TimePoint> m_failingSince;  ///< Without a successful read.
   std::optional<TimePoint> m_lastTick;
--- a/include/nutmegdrift/control/ownership_controller.h
+++ b/include/nutmegdrift/control/ownership_controller.h
@@ -43,6 +43,11 @@
   Duration EndpointInterval = std::chrono::seconds(2);
   Duration ProbeInterval = std::chrono::milliseconds(300);
   Duration CarryInterval = std::chrono::milliseconds(500);
+  /// Time after the last confirmation of an outage within which a take-over has
+  /// to be recorded. A confirmation lasts for at most a recovery dwell, a read
+  /// and a lease after the outage, and the replaced owner reads the record up
+  /// to a read later: together less than MembershipController's settle time.
+  Duration RecordTime = std::chrono::milliseconds(500);
   /// `limits.longest_request`: a carry without an update expires after it.
   Duration LongestRequest = std::chrono::seconds(120);
 };
@@ -132,6 +137,7 @@
   void followHeld(const config::ReplicaId &Id, const OwnershipRecord &Record);
   void release(const config::ReplicaId &Id, const DaemonName &To,
                std::uint64_t Epoch);
+  void dropLateTakeovers();
   void recordTakeovers();
   bool recordTakeover(ZoneObject &Next, const config::ReplicaId &Id,
                       const Held &Mine) const;
@@ -177,6 +183,7 @@
   TimePoint m_nextEndpoints{};
   TimePoint m_nextProbe{};
   TimePoint m_nextCarry{};
+  TimePoint m_confirmedAt{}; ///< When an outage was last seen confirmed.
   /// Reads only changes: a list of all endpoints every two seconds took 71 KB/s
   /// a daemon at 740 replicas.
   ObjectFollower m_endpointObjects;
--- a/src/nutmegdrift/control/membership_controller.cpp
+++ b/src/nutmegdrift/control/membership_controller.cpp
@@ -33,10 +33,12 @@
 }
 
 // After a pause of this daemon nothing is known about how long others were
-// silent, because their beats may still wait to be processed.
+// silent, because their beats may still wait to be processed. A pause of a
+// lease also breaks the confirmation of its hold: others may have claimed.
 void MembershipController::forgiveOwnPause() {
   const std::scoped_lock Lock(m_mutex);
   const auto Now = m_clock.now();
+  m_isolated = m_isolated || (m_confirmedAt && !confirmedAt(Now));
   if (m_lastTick && Now - *m_lastTick > MaxTickGap) {
     for (auto &[Name, Peer] : m_peers)
       if (Peer.HeardAt)
@@ -412,6 +414,7 @@
     return;
   Peer.EchoOf = Sent->second;
   if (!Message.PlatformUnreadable) {
+    m_peerReadAt = m_clock.now();
     Peer.ReadableSince = Peer.ReadableSince.value_or(m_clock.now());
     return;
   }
@@ -438,6 +441,9 @@
 }
 
 bool MembershipController::confirmedAt(TimePoint Now) const {
+  // In a cell of one nobody's echo grows old while this daemon is paused.
+  if (!m_lastTick || Now - *m_lastTick >= m_options.Times.Lease)
+    return false;
   const auto Cell = cellLocked();
   const auto Count =
       std::count_if(Cell.begin(), Cell.end(), [&](const auto &Name) {
@@ -503,7 +509,10 @@
 
 bool MembershipController::leasesOver() const {
   const std::scoped_lock Lock(m_mutex);
-  return m_failingSince && m_clock.now() - *m_failingSince >= longSilence();
+  // While a peer reads the platform, owners may renew their leases.
+  return m_failingSince &&
+         m_clock.now() - std::max(*m_failingSince, m_peerReadAt) >=
+             longSilence();
 }
 
 bool MembershipController::peersInOutage(const DaemonName &Owner) const {
--- a/src/nutmegdrift/control/ownership_controller.cpp
+++ b/src/nutmegdrift/control/ownership_controller.cpp
@@ -32,6 +32,7 @@
   followRecords();
   readMessages();
   probeOwners();
+  dropLateTakeovers();
   if (m_members.platformReadable()) {
     recordTakeovers();
     handOverDue();
@@ -276,6 +277,27 @@
   m_channel.send(From, Ack);
 }
 
+/// Gives up take-overs whose outage was confirmed too long ago. The replaced
+/// owner returns to its full limit once every successor must have recorded its
+/// take-over, so a daemon that was paused meanwhile must not record its own.
+void OwnershipController::dropLateTakeovers() {
+  const auto Now = m_clock.now();
+  if (m_members.outageConfirmed())
+    m_confirmedAt = Now;
+  if (Now - m_confirmedAt <= m_options.RecordTime)
+    return;
+  const std::scoped_lock Lock(m_mutex);
+  std::erase_if(m_held, [&](const auto &Item) {
+    const auto &[Id, Mine] = Item;
+    if (!Mine.TakenFrom)
+      return false;
+    m_withdrawn = m_published.erase(Id) > 0 || m_withdrawn;
+    m_log.event("ownership.takeover_dropped",
+                {{"replica", Id}, {"owner", *Mine.TakenFrom}});
+    return true;
+  });
+}
+
 /// Writes take-overs and direct hand-overs of an outage into the records.
 void OwnershipController::recordTakeovers() {
   const bool Any =
--- a/src/nutmegdrift/control/ownership_controller_test.cpp
+++ b/src/nutmegdrift/control/ownership_controller_test.cpp
@@ -359,6 +359,60 @@
             "");
 }
 
+// The writer takes over during an outage, is paused at once and resumes after
+// the isolated holder went back to its full limit. It must not record then what
+// it took over.
+TEST(LateTakeOver, IsNotRecordedAfterAPause) {
+  EXPECT_EQ(violationUnder({{3, 2, 2},
+                            {3, 9, 5},
+                            {3, 7, 1},
+                            {0, 0, 19},
+                            {1, 0, 18},
+                            {1, 2, 1},
+                            {0, 0, 3},
+                            {1, 0, 26},
+                            {1, 0, 26},
+                            {1, 2, 4}}),
+            "");
+}
+
+// A daemon that knows no other live one confirms an outage alone. Once paused
+// for a lease it must not count as confirmed, or it admits beside the daemon
+// that claimed after the outage.
+TEST(CellOfOne, PauseOfALeaseEndsItsConfirmation) {
+  EXPECT_EQ(violationUnder({{1, 4, 1},
+                            {1, 6, 1},
+                            {1, 2, 1},
+                            {1, 0, 8},
+                            {2, 0, 25},
+                            {0, 0, 14},
+                            {1, 0, 10},
+                            {1, 1, 1},
+                            {0, 0, 1},
+                            {1, 3, 11},
+                            {2, 0, 15},
+                            {2, 0, 27},
+                            {1, 6, 4}}),
+            "");
+  EXPECT_EQ(violationUnder({{5, 13, 1},
+                            {5, 16, 1},
+                            {6, 14, 1},
+                            {6, 17, 38},
+                            {0, 0, 30},
+                            {1, 0, 1},
+                            {0, 0, 1},
+                            {7, 1, 14},
+                            {1, 2, 4},
+                            {7, 7, 38}}),
+            "");
+}
+
+// A daemon cut from the platform alone must not count its own cut towards the
+// time after which every lease has run out in an outage.
+TEST(OutageAfterCut, LeasesRunFromTheOutage) {
+  EXPECT_EQ(violationUnder({{3, 0, 1}, {10, 18, 30}, {0, 0, 10}}), "");
+}
+
 // A daemon that is cut from the platform knows the version only from answers
 // of the zone writer, and must keep its lease when that restarts empty.
 TEST_F(Ownership, CutHolderKeepsItsLeaseWhenTheZoneWriterRestarts) {
