Give test daemons ports that nothing else takes

Ten refusals_test programs at once beside load failed 15 of 80 times with "d2 did not become ready": each program asked the kernel for a free port, closed it and let a daemon bind it later, so another program or an outgoing connection could have it first. Ports now come from below the kernel's range for outgoing connections, and an abstract socket name claims each one among the programs. After: 80 of 80 runs of Refusals.ByShape beside the same load passed.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,5 +1,6 @@
 #include "child_process.h"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 
 #include <csignal>
@@ -7,11 +8,14 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -100,10 +104,53 @@
   return std::nullopt;
 }
 
+namespace {
+
+/// Ports below the range from which the kernel gives ports to outgoing
+/// connections, any of which could take a port before its daemon binds it.
+constexpr std::uint16_t FirstPort = 12000;
+constexpr std::uint16_t LastPort = 31999;
+
+/// Claims the port among the test programs of this machine, until this process
+/// ends. The claim is a name in the abstract socket namespace.
+bool claimPort(std::uint16_t Port) {
+  const auto Name = "nutmegdrift-test-port-" + std::to_string(Port);
+  sockaddr_un Address{};
+  Address.sun_family = AF_UNIX;
+  Name.copy(Address.sun_path + 1, sizeof(Address.sun_path) - 1);
+  const int Claim = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  if (Claim < 0)
+    throw std::runtime_error("cannot make a socket");
+  const auto Length = offsetof(sockaddr_un, sun_path) + 1 + Name.size();
+  if (::bind(Claim, reinterpret_cast<const sockaddr *>(&Address),
+             static_cast<socklen_t>(Length)) == 0)
+    return true;
+  ::close(Claim);
+  return false;
+}
+
+bool bindable(std::uint16_t Port) {
+  try {
+    const Poco::Net::ServerSocket Socket(
+        Poco::Net::SocketAddress("127.0.0.1", Port));
+    return true;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+} // namespace
+
 std::uint16_t freePort() {
-  const Poco::Net::ServerSocket Socket(
-      Poco::Net::SocketAddress("127.0.0.1", 0));
-  return Socket.address().port();
+  static std::uint16_t Next =
+      FirstPort + static_cast<std::uint16_t>(::getpid() * 37 %
+                                             (LastPort - FirstPort));
+  for (int Tried = FirstPort; Tried <= LastPort; ++Tried) {
+    Next = Next >= LastPort ? FirstPort : Next + 1;
+    if (claimPort(Next) && bindable(Next))
+      return Next;
+  }
+  throw std::runtime_error("no free port");
 }
 
 } // namespace nutmegdrift::testing
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -36,7 +36,8 @@
   int m_output = -1;
 };
 
-/// A TCP port on the loopback interface that was free a moment ago.
+/// A TCP port on the loopback interface that is free and that no other test
+/// program and no outgoing connection takes.
 std::uint16_t freePort();
 
 } // namespace nutmegdrift::testing
