Carry out roll-outs

Cause: orders to move a service to another version were not read. A new version got traffic like all replicas, so a bad one would have got far more than a tenth of the requests, and no order was ever reported as completed. Change: FleetRollouts, without I/O, holds the stage of each order. Canary replicas, few so that each bears its usual load, get 5 % of the requests; the dispatcher and the choice for plain services both keep to it, and repeated requests stay with the old version. Outcomes travel in beats, so that every daemon judges with those of all, by policy::VersionJudge as before. At 80 % of the order's time new requests move, at 84 % the order is reported as completed; a version that one daemon finds bad gets nothing from any daemon that hears of it. Ruled out: RolloutMachine, whose phases take 60 s and whose ramp gives a late bad version more than a tenth; judging on each daemon alone, which sees an eighth of the outcomes; comparing first-token times of engines, since new ones have empty memories.

--- a/include/nutmegdrift/control/membership_controller.h
+++ b/include/nutmegdrift/control/membership_controller.h
@@ -179,9 +179,9 @@
   Random m_random;
   ZoneObject m_zone;
   std::uint64_t m_version = 0;
-  std::uint64_t m_writes = 0;               ///< Part of the nonce.
-  std::optional<TimePoint> m_lastRead;      ///< Empty after a failed read.
-  std::optional<TimePoint> m_lastFailure;   ///< Of a read.
+  std::uint64_t m_writes = 0;             ///< Part of the nonce.
+  std::optional<TimePoint> m_lastRead;    ///< Empty after a failed read.
+  std::optional<TimePoint> m_lastFailure; ///< Of a read.
   TimePoint m_peerReadAt{}; ///< Last echo that says a peer reads the platform.
   std::optional<TimePoint> m_readableSince; ///< Without a gap.
   std::optional<TimePoint> m_failingSince;  ///< Without a successful read.
--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -87,6 +87,8 @@
   void giveAnswer(const Error &Why);
   void refuseModel(const routing::ModelDecision &Made);
   void releaseReplica(routing::ReplicaOutcome Outcome);
+  void noteVersion(const routing::ReplicaRecord &Of,
+                   routing::ReplicaOutcome Outcome);
   void finish();
   [[nodiscard]] Milliseconds timeLeft() const;
   [[nodiscard]] bool modelCall() const;
@@ -122,6 +124,8 @@
   bool m_passOn = false;     ///< Pass the stream on byte for byte.
 
   TimePoint m_sentAt{};
+  TimePoint m_firstByteAt{};   ///< Of the body; unset until it begins.
+  std::size_t m_bodyBytes = 0; ///< Received of the body.
   Duration m_predicted{0}; ///< First token after the decision, if known here.
   net::Timer m_limitTimer;
   net::Timer m_silenceTimer;
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -4,6 +4,7 @@
 #define NUTMEGDRIFT_GATEWAY_FLEET_MESSAGES_H
 
 #include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/policy/version_judge.h"
 #include "nutmegdrift/routing/model_dispatcher.h"
 
 #include <string>
@@ -22,6 +23,31 @@
   friend bool operator==(const SuspectCount &, const SuspectCount &) = default;
 };
 
+enum class RolloutStage { Canary, Moving, Completed, RolledBack };
+
+/// "canary", "moving", "completed" or "rolled-back".
+std::string_view toString(RolloutStage Stage);
+
+/// How far a daemon believes a roll-out to be.
+struct RolloutNews {
+  std::string Service;
+  std::string Version;
+  RolloutStage Stage = RolloutStage::Canary;
+  Milliseconds Elapsed{0}; ///< Since the order.
+
+  friend bool operator==(const RolloutNews &, const RolloutNews &) = default;
+};
+
+/// The outcome of one request during a roll-out. Sample.At is not told.
+struct RolloutOutcome {
+  std::string Service;
+  std::string Version; ///< That is rolled out.
+  policy::VersionSample Sample;
+
+  friend bool operator==(const RolloutOutcome &,
+                         const RolloutOutcome &) = default;
+};
+
 /// What a daemon tells all others several times a second.
 struct Beat {
   DaemonName Daemon;
@@ -39,6 +65,8 @@
   std::vector<std::uint64_t> Revisions;
   std::vector<HostPort> Others; ///< Some other daemons, for discovery.
   std::vector<SuspectCount> Suspects;
+  std::vector<RolloutNews> Rollouts;
+  std::vector<RolloutOutcome> Outcomes; ///< Since the last beat.
 
   friend bool operator==(const Beat &, const Beat &) = default;
 };
--- a/include/nutmegdrift/gateway/fleet_state.h
+++ b/include/nutmegdrift/gateway/fleet_state.h
@@ -3,7 +3,7 @@
 #ifndef NUTMEGDRIFT_GATEWAY_FLEET_STATE_H
 #define NUTMEGDRIFT_GATEWAY_FLEET_STATE_H
 
-#include "nutmegdrift/gateway/fleet_messages.h"
+#include "nutmegdrift/gateway/fleet_rollouts.h"
 #include "nutmegdrift/routing/desired_state.h"
 #include "nutmegdrift/routing/replica_table.h"
 
@@ -47,6 +47,7 @@
   /// they were matched with.
   std::shared_ptr<const routing::RoutingTable> Table;
   routing::ReplicaTable Replicas;
+  FleetRollouts Rollouts;
   StateFreshness Freshness;
   bool Stopping = false;
 };
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -39,6 +39,8 @@
   [[nodiscard]] FleetState &state() { return m_state; }
   /// Call after changes of the replicas in state().
   void replicasChanged();
+  /// Call after a change of the roll-outs in state().
+  void rolloutsChanged();
   /// The store confirmed the desired state in force for the time At.
   void stateConfirmed(TimePoint At) { m_state.Freshness.confirmed(At); }
   [[nodiscard]] GatewayMetrics &metrics() { return m_metrics; }
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -169,7 +169,8 @@
     /// dry.
     Duration Reserved{0};
     std::size_t ReservedSlots = 0;
-    bool Usable = true; ///< Kept for its requests when false.
+    bool Usable = true;  ///< Kept for its requests when false.
+    bool Canary = false; ///< See Replica::Canary.
   };
   struct Choice {
     Engine *Where = nullptr;
@@ -196,6 +197,8 @@
   void updateLoad(TimePoint Now);
   void fade(Queue &Of, TimePoint Now) const;
   [[nodiscard]] bool behind(const Queue &Of) const;
+  /// Whether the next request is for a canary replica.
+  [[nodiscard]] bool canaryTurn() const;
   [[nodiscard]] bool takes(Engine &Each, const Item &Wanted,
                            TimePoint Now) const;
   [[nodiscard]] double tokensPerMs(TimePoint Now) const;
@@ -225,6 +228,10 @@
   std::vector<Engine *> m_candidates;    ///< Of collectCandidates().
   std::map<std::string, Queue> m_queues; ///< By workspace.
   std::size_t m_queued = 0;              ///< Items in all queues.
+  std::size_t m_canaries = 0;            ///< Usable canary engines.
+  // Requests placed since there are canary engines, and those placed there.
+  std::uint64_t m_placedBeside = 0;
+  std::uint64_t m_placedCanary = 0;
   std::uint64_t m_pumps = 0;
   double m_load = 0.0;    ///< Share of the engines that are busy reading.
   double m_bestGot = 0.0; ///< Greatest Got of a queue, as of the last pump.
--- a/include/nutmegdrift/routing/replica_table.h
+++ b/include/nutmegdrift/routing/replica_table.h
@@ -74,6 +74,11 @@
   TimePoint m_outUntil{};
 };
 
+/// Part of the requests that the canary replicas of a new version get. A bad
+/// version may get a tenth until its move is over; half of that leaves room for
+/// the move itself and for daemons that count apart.
+inline constexpr double CanaryShare = 0.05;
+
 /// One replica and what this daemon knows of it.
 struct Replica {
   ReplicaRecord Record;
@@ -81,6 +86,7 @@
   ReplicaHealth Health{};
   unsigned InFlight = 0; ///< Requests of this daemon.
   ColdAllowance Cold{};  ///< For requests that need no dispatcher.
+  bool Canary = false;   ///< Gets only CanaryShare of the requests.
 };
 
 /// All replicas by id. Not thread-safe.
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -45,6 +45,9 @@
 constexpr Milliseconds ShortRetry{300};
 constexpr Milliseconds CrashRetry{30000};
 
+/// Shortest stream whose pace is compared between versions: a few events.
+constexpr std::size_t LeastPaceBytes = 400;
+
 constexpr int FirstRedirect = 300;
 constexpr int FirstSuccess = 200;
 constexpr int FirstServerError = 500;
@@ -212,7 +215,9 @@
         routing::coldShare(false, m_env.Daemons(), Now - m_env.Started,
                            hashText(m_env.Settings.Name, hashText(m_service)));
   const routing::Replica *Chosen = routing::pickLeastUsed(
-      m_env.State.Replicas.usable(m_service), Limits, Now, m_env.Rng());
+      m_env.State.Rollouts.selectForRequest(
+          m_service, m_env.State.Replicas.usable(m_service), m_sends > 0),
+      Limits, Now, m_env.Rng());
   if (Chosen) {
     send(Chosen->Record.Id);
     return;
@@ -259,7 +264,8 @@
     return;
   }
   const routing::Replica *Chosen = m_env.State.Replicas.find(Made.Where);
-  if (Chosen && m_env.State.Replicas.admits(Chosen->Record)) {
+  if (Chosen && m_env.State.Replicas.admits(Chosen->Record) &&
+      m_env.State.Rollouts.admits(Chosen->Record)) {
     send(Made.Where);
     return;
   }
@@ -333,6 +339,10 @@
   }
   ++m_sends;
   m_sentAt = m_env.Clk.now();
+  m_firstByteAt = {};
+  m_bodyBytes = 0;
+  if (!m_placement)
+    m_env.State.Rollouts.sent(Chosen->Record);
   net::HttpRequest &Received = m_exchange->request();
   net::HttpRequest Out{
       .Method = Received.Method,
@@ -381,6 +391,9 @@
 void Call::onBody(std::string_view Body) {
   if (m_over)
     return;
+  if (m_bodyBytes == 0)
+    m_firstByteAt = m_env.Clk.now();
+  m_bodyBytes += Body.size();
   if (!m_passOn) {
     m_body.append(Body);
     if (m_body.size() > MaxHeldAnswer && !m_streaming && m_answer.Signed)
@@ -671,6 +684,29 @@
   finish();
 }
 
+void Call::noteVersion(const routing::ReplicaRecord &Of,
+                       ReplicaOutcome Outcome) {
+  const bool Failed =
+      Outcome == ReplicaOutcome::Failed || Outcome == ReplicaOutcome::Silent;
+  if (!Failed && Outcome != ReplicaOutcome::Served)
+    return;
+  const TimePoint Now = m_env.Clk.now();
+  policy::VersionSample Sample{
+      .Route = m_route->Name,
+      .Failed = Failed,
+      // A new engine reads prompts that the old ones have in memory, so the
+      // time to the first token says nothing about the version.
+      .Cold = modelCall(),
+      .FirstToken = m_bodyBytes > 0 ? m_firstByteAt - m_sentAt : Duration{0},
+      .At = Now};
+  // The pace of a stream is the time for each kilobyte, which is as good as the
+  // time for each event when compared on one route.
+  if (routing::isStream(m_route->Kind) && m_bodyBytes >= LeastPaceBytes)
+    Sample.TokenGap =
+        (Now - m_firstByteAt) * 1000 / static_cast<std::int64_t>(m_bodyBytes);
+  m_env.State.Rollouts.note(m_service, Of.Version, std::move(Sample));
+}
+
 void Call::releaseReplica(ReplicaOutcome Outcome) {
   m_silenceTimer.cancel();
   if (m_placement) {
@@ -680,6 +716,7 @@
   if (!m_replica.empty()) {
     if (routing::Replica *Used = m_env.State.Replicas.find(m_replica)) {
       Used->InFlight -= Used->InFlight > 0 ? 1 : 0;
+      noteVersion(Used->Record, Outcome);
       if (!modelCall())
         Used->Health.note(Outcome,
                           m_env.State.Replicas.othersFailureShare(*Used),
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// Changes with the form of any message.
-constexpr int FormatVersion = 2;
+constexpr int FormatVersion = 3;
 /// Larger frames are no messages of ours.
 constexpr std::size_t MaxFrameBytes = std::size_t{1} << 20U;
 constexpr std::size_t LengthBytes = 4;
@@ -41,6 +41,41 @@
   return Out;
 }
 
+json toJson(const RolloutOutcome &Told) {
+  const policy::VersionSample &Sample = Told.Sample;
+  const auto Micros = [](Duration Time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(Time).count();
+  };
+  return json::array({Told.Service, Told.Version, Sample.Route, Sample.Fresh,
+                      Sample.Failed, Sample.Cold, Micros(Sample.FirstToken),
+                      Micros(Sample.TokenGap)});
+}
+
+RolloutOutcome rolloutOutcome(const json &V) {
+  const auto Time = [&](std::size_t Index) {
+    return std::chrono::microseconds(V.at(Index).get<std::int64_t>());
+  };
+  return {.Service = V.at(0).get<std::string>(),
+          .Version = V.at(1).get<std::string>(),
+          .Sample = {.Route = V.at(2).get<std::string>(),
+                     .Fresh = V.at(3).get<bool>(),
+                     .Failed = V.at(4).get<bool>(),
+                     .Cold = V.at(5).get<bool>(),
+                     .FirstToken = Time(6),
+                     .TokenGap = Time(7),
+                     .At = {}}};
+}
+
+RolloutNews rolloutNews(const json &V) {
+  const int Stage = V.at(2).get<int>();
+  if (Stage < 0 || Stage > static_cast<int>(RolloutStage::RolledBack))
+    throw std::out_of_range("stage");
+  return {.Service = V.at(0).get<std::string>(),
+          .Version = V.at(1).get<std::string>(),
+          .Stage = static_cast<RolloutStage>(Stage),
+          .Elapsed = Milliseconds(V.at(3).get<std::int64_t>())};
+}
+
 struct MessageEncoder {
   json operator()(const PlaceRequest &M) const {
     json Out = json::array();
@@ -140,12 +175,30 @@
   json Suspects = json::array();
   for (const SuspectCount &Each : B.Suspects)
     Suspects.push_back(json::array({Each.Fingerprint, Each.Crashed}));
+  json Rollouts = json::array();
+  for (const RolloutNews &Each : B.Rollouts)
+    Rollouts.push_back(
+        json::array({Each.Service, Each.Version, static_cast<int>(Each.Stage),
+                     Each.Elapsed.count()}));
+  json Outcomes = json::array();
+  for (const RolloutOutcome &Each : B.Outcomes)
+    Outcomes.push_back(toJson(Each));
   json Out = json::array();
-  Out = {FormatVersion,      B.Daemon,           B.Boot,
-         toJson(B.Front),    toJson(B.Internal), B.Ready,
-         B.Stopping,         B.Weight,           B.StateVersion,
-         B.StateAge.count(), B.Revisions,        std::move(Others),
-         std::move(Suspects)};
+  Out = {FormatVersion,
+         B.Daemon,
+         B.Boot,
+         toJson(B.Front),
+         toJson(B.Internal),
+         B.Ready,
+         B.Stopping,
+         B.Weight,
+         B.StateVersion,
+         B.StateAge.count(),
+         B.Revisions,
+         std::move(Others),
+         std::move(Suspects),
+         std::move(Rollouts),
+         std::move(Outcomes)};
   return bytesOf(Out);
 }
 
@@ -170,6 +223,10 @@
       B.Suspects.push_back(
           {.Fingerprint = Each.at(0).get<std::uint64_t>(),
            .Crashed = Each.at(1).get<std::vector<std::string>>()});
+    for (const json &Each : V.at(13))
+      B.Rollouts.push_back(rolloutNews(Each));
+    for (const json &Each : V.at(14))
+      B.Outcomes.push_back(rolloutOutcome(Each));
     return B;
   } catch (const std::exception &) {
     return std::nullopt;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -36,7 +36,12 @@
                           Clk.wallNow().time_since_epoch().count()))),
       m_random(m_boot), m_pool(Loop, Clk),
       m_beacon(Loop, Clk, Log, m_settings.Internal,
-               {.Compose = [this] { return composeBeat(); },
+               {.Compose =
+                    [this] {
+                      Beat Out = composeBeat();
+                      Out.Outcomes = m_state.Rollouts.takeOutcomes();
+                      return Out;
+                    },
                 .OnBeat = [this](const Beat &From) { heard(From); }}),
       m_placement(
           {.Loop = Loop,
@@ -214,7 +219,8 @@
                           : Milliseconds(-1),
           .Revisions =
               m_hooks.SeenRevisions ? m_hooks.SeenRevisions() : Revisions{},
-          .Suspects = m_crashes.told(Now)};
+          .Suspects = m_crashes.told(Now),
+          .Rollouts = m_state.Rollouts.news(Now)};
 }
 
 void Gateway::heard(const Beat &From) {
@@ -224,6 +230,8 @@
   if (m_state.Table && From.StateAge.count() >= 0 &&
       From.StateVersion == m_state.Table->state().Version)
     m_state.Freshness.confirmedByPeer(From.StateAge, Now);
+  if (m_state.Rollouts.hear(From.Rollouts, From.Outcomes, Now))
+    rolloutsChanged();
   if (m_hooks.OnBeat)
     m_hooks.OnBeat(From);
 }
@@ -273,13 +281,28 @@
     return;
   for (const routing::Service &Each : m_state.Table->state().Services)
     if (Each.Engine)
-      m_placement.setReplicas(Each, m_state.Replicas.usable(Each.Name));
+      m_placement.setReplicas(
+          Each, m_state.Rollouts.select(Each.Name,
+                                        m_state.Replicas.usable(Each.Name)));
+}
+
+void Gateway::rolloutsChanged() {
+  for (const auto &Each : m_state.Rollouts.reports(m_clock.now()))
+    m_log.line(LogClass::Belief, "rollout.stage",
+               {{"service", Each.Order.Service},
+                {"version", Each.Order.Version},
+                {"stage", std::string(toString(Each.Stage))},
+                {"reason", Each.Reason}});
+  replicasChanged();
+  m_beacon.sendNow();
 }
 
 void Gateway::tick() {
   const TimePoint Now = m_clock.now();
   if (m_state.Freshness.tick(Now))
     m_log.line(LogClass::Fault, "daemon.stalled", {});
+  if (m_state.Rollouts.tick(m_state.Replicas, Now))
+    rolloutsChanged();
   if (Now - m_lastSweep >= SweepInterval) {
     m_lastSweep = Now;
     const auto Gone = m_state.Replicas.expire(Now);
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -47,7 +47,18 @@
                   .StateAge = 12ms,
                   .Revisions = {1, 2, 3},
                   .Others = {{.Host = "10.0.0.2", .Port = 2}},
-                  .Suspects = {{.Fingerprint = 5, .Crashed = {"r1", "r2"}}}};
+                  .Suspects = {{.Fingerprint = 5, .Crashed = {"r1", "r2"}}},
+                  .Rollouts = {{.Service = "s",
+                                .Version = "v2",
+                                .Stage = RolloutStage::Moving,
+                                .Elapsed = 900ms}},
+                  .Outcomes = {{.Service = "s",
+                                .Version = "v2",
+                                .Sample = {.Route = "r",
+                                           .Fresh = true,
+                                           .Failed = true,
+                                           .FirstToken = 3ms,
+                                           .TokenGap = 2us}}}};
   EXPECT_EQ(decodeBeat(encode(Sent)), Sent);
   EXPECT_FALSE(decodeBeat("no beat"));
   const PlacementMessage Messages[] = {
@@ -78,6 +89,124 @@
   EXPECT_TRUE(Bad);
 }
 
+/// Six old and six new replicas of a service, and an order to move it.
+class Rollouts : public ::testing::Test {
+protected:
+  Rollouts() {
+    for (int I = 0; I < 12; ++I)
+      m_replicas.upsert({.Id = "r" + std::to_string(I),
+                         .Service = "s",
+                         .Version = I < 6 ? "v1" : "v2"},
+                        Start);
+    m_rollouts.order(Order, Start);
+  }
+  /// Sends requests at an even rate and returns how many the new version got.
+  int send(FleetRollouts &By, int Count) {
+    int Fresh = 0;
+    for (int I = 0; I < Count; ++I) {
+      const auto Among =
+          By.selectForRequest("s", m_replicas.usable("s"), false);
+      const auto &To = Among.at(static_cast<std::size_t>(I) % Among.size());
+      By.sent(To->Record);
+      Fresh += To->Record.Version == "v2" ? 1 : 0;
+    }
+    return Fresh;
+  }
+  static policy::VersionSample sample(bool Failed, TimePoint At) {
+    return {.Route = "r", .Failed = Failed, .FirstToken = 10ms, .At = At};
+  }
+  RolloutStage reported(TimePoint At) {
+    return m_rollouts.reports(At).at(0).Stage;
+  }
+
+  const RolloutOrder Order{.Service = "s", .Version = "v2", .Length = 16s};
+  routing::ReplicaTable m_replicas;
+  FleetRollouts m_rollouts;
+};
+
+// A bad version must not get more than a tenth of the requests until the move
+// is over, and one new replica has to bear its usual load, or a fault under
+// load stays hidden.
+TEST_F(Rollouts, NewVersionGetsItsShareOnFewReplicas) {
+  EXPECT_EQ(send(m_rollouts, 1000), 50);
+  const auto Among = m_rollouts.select("s", m_replicas.usable("s"));
+  EXPECT_EQ(Among.size(), 7U);
+  EXPECT_EQ(std::count_if(Among.begin(), Among.end(),
+                          [](const auto *Each) { return Each->Canary; }),
+            1);
+  // A repeated request must not meet a bad version a second time.
+  for (int I = 0; I < 100; ++I)
+    for (const auto *Each :
+         m_rollouts.selectForRequest("s", m_replicas.usable("s"), true))
+      EXPECT_EQ(Each->Record.Version, "v1");
+}
+
+// Requests move before the old replicas are stopped, and what the new version
+// gets until then stays below a tenth.
+TEST_F(Rollouts, GoodVersionMovesAndCompletesInTime) {
+  int Fresh = 0;
+  TimePoint Completed{};
+  for (int Ms = 0; Ms < 16000; Ms += 100) {
+    const TimePoint At = Start + std::chrono::milliseconds(Ms);
+    m_rollouts.tick(m_replicas, At);
+    Fresh += send(m_rollouts, 10);
+    m_rollouts.note("s", "v1", sample(false, At));
+    m_rollouts.note("s", "v2", sample(false, At));
+    if (reported(At) == RolloutStage::Completed) {
+      Completed = At;
+      break;
+    }
+  }
+  EXPECT_GT(Completed, Start + 8s);
+  EXPECT_LT(Completed, Start + 15s);
+  EXPECT_LE(Fresh, 160);
+  m_rollouts.settle("s", "v2", RolloutStage::Completed, m_replicas);
+  EXPECT_EQ(send(m_rollouts, 20), 20);
+  EXPECT_FALSE(m_rollouts.admits({.Service = "s", .Version = "v1"}));
+  // Replicas of a later version are no old ones.
+  EXPECT_TRUE(m_rollouts.admits({.Service = "s", .Version = "v3"}));
+}
+
+// One daemon sees too few requests to judge; the outcomes of all daemons
+// decide, and a version that one daemon takes back gets nothing anywhere.
+TEST_F(Rollouts, BadVersionIsTakenBackByTheOutcomesOfAll) {
+  FleetRollouts Other;
+  Other.order(Order, Start);
+  FleetRollouts Third;
+  Third.order(Order, Start);
+  TimePoint At = Start;
+  while (At < Start + 10s && reported(At) != RolloutStage::RolledBack) {
+    At += 100ms;
+    Other.note("s", "v1", sample(false, At));
+    Other.note("s", "v2", sample(true, At));
+    m_rollouts.hear(Other.news(At), Other.takeOutcomes(), At);
+    m_rollouts.tick(m_replicas, At);
+  }
+  EXPECT_LT(At, Start + 4s);
+  EXPECT_TRUE(Third.hear(m_rollouts.news(At), {}, At));
+  EXPECT_EQ(send(Third, 100), 0);
+  EXPECT_FALSE(Third.admits({.Service = "s", .Version = "v2"}));
+  EXPECT_TRUE(Third.admits({.Service = "s", .Version = "v1"}));
+}
+
+// Too few new replicas could not bear the load of the old ones.
+TEST_F(Rollouts, WaitsForEnoughNewReplicas) {
+  for (int I = 7; I < 12; ++I)
+    m_replicas.remove("r" + std::to_string(I), std::nullopt);
+  EXPECT_FALSE(m_rollouts.tick(m_replicas, Start + 15s));
+  EXPECT_EQ(reported(Start + 15s), RolloutStage::Canary);
+}
+
+// A daemon that starts in the middle of a move must not begin it anew.
+TEST_F(Rollouts, RestartedDaemonGoesOnWhereTheOthersAre) {
+  m_rollouts.tick(m_replicas, Start + 13s);
+  FleetRollouts Empty;
+  Empty.hear(m_rollouts.news(Start + 13s), {}, Start + 13s);
+  Empty.order(Order, Start + 13s + 200ms);
+  EXPECT_EQ(send(Empty, 10), 10);
+  EXPECT_EQ(Empty.reports(Start + 14s).at(0).Stage, RolloutStage::Completed);
+}
+
 TEST(StateFreshness, MessagesThatWaitedThroughAFreezeDoNotCount) {
   // A daemon that stood still reads beats that are seconds old when it wakes;
   // trusting them would accept keys that were taken away meanwhile.
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -78,6 +78,12 @@
   m_coldPerSecond = Traits.ColdPerSecond;
   for (auto &[Id, Each] : m_engines)
     Each.Usable = false;
+  const auto Canaries = static_cast<std::size_t>(
+      std::count_if(Usable.begin(), Usable.end(),
+                    [](const Replica *Each) { return Each->Canary; }));
+  if (m_canaries == 0)
+    m_placedBeside = m_placedCanary = 0;
+  m_canaries = Canaries;
   double Rate = EngineEstimate::InitialRate;
   if (!m_engines.empty())
     Rate = m_engines.begin()->second.Estimate.tokensPerMs();
@@ -101,6 +107,7 @@
                                .BornMillis = Each->Record.BornMillis})
                   .first;
     Found->second.Usable = true;
+    Found->second.Canary = Each->Canary;
     Found->second.ColdUntil = Each->ColdUntil;
   }
   std::erase_if(m_engines, [this](const auto &Each) {
@@ -118,6 +125,12 @@
   return Found == m_engines.end() ? nullptr : &Found->second.Estimate;
 }
 
+bool ModelDispatcher::canaryTurn() const {
+  return m_canaries > 0 &&
+         static_cast<double>(m_placedCanary + 1) <=
+             CanaryShare * static_cast<double>(m_placedBeside + 1);
+}
+
 bool ModelDispatcher::takes(Engine &Each, const Item &Wanted,
                             TimePoint Now) const {
   const EngineEstimate &Estimate = Each.Estimate;
@@ -195,7 +208,7 @@
   Engine *Home = nullptr;
   std::uint64_t Best = 0;
   for (auto &[Id, Each] : m_engines) {
-    if (!Each.Usable)
+    if (!Each.Usable || Each.Canary)
       continue;
     // A multiplicative mix of two hashes is enough to rank the engines.
     std::uint64_t Rank = (Each.IdHash ^ Chain) * 0x9E3779B97F4A7C15ULL;
@@ -285,9 +298,12 @@
     m_candidates.push_back(Home);
   Choice Best;
   bool BestOut = true;
+  const bool CanaryTurn = canaryTurn() && !Wanted.Request.Repeated;
   for (Engine *Each : m_candidates) {
     if (Wanted.Request.Tried.contains(Each->Id))
       continue;
+    if (Each->Canary && (!CanaryTurn || !takes(*Each, Wanted, Now)))
+      continue;
     const bool Out = Each->Health.out(Now);
     if (Out && !BestOut)
       continue;
@@ -296,7 +312,10 @@
       Known += static_cast<std::uint32_t>(HomeTrust *
                                           (Wanted.Prefix.tokens() - Known));
     const Choice Here = price(Wanted, *Each, Known, RereadWeight, Now);
-    if (Best.Where && Out == BestOut && Here.Cost >= Best.Cost)
+    const bool Before = Best.Where && Best.Where->Canary != Each->Canary
+                            ? Each->Canary
+                            : Here.Cost < Best.Cost;
+    if (Best.Where && Out == BestOut && !Before)
       continue;
     BestOut = Out;
     Best = Here;
@@ -466,6 +485,8 @@
       Holders.push_back(Where.Where);
   }
   ++m_totals.Placed;
+  m_placedBeside += m_canaries > 0 ? 1 : 0;
+  m_placedCanary += Where.Where->Canary ? 1 : 0;
   m_totals.TokensKnown += Known;
   m_totals.TokensReread += Anywhere - Known;
   m_totals.TokensRead += Placed.Request.PromptTokens - Known;
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -245,6 +245,31 @@
   EXPECT_EQ(Homes.size(), 1U);
 }
 
+TEST_F(DispatcherFixture, GivesCanaryReplicasTheirShareOnly) {
+  // An idle canary replica is the cheapest engine for every request; a bad
+  // version would get most of them.
+  replicas(6);
+  Table.find("r0")->Canary = true;
+  refresh();
+  int Canary = 0;
+  for (int I = 0; I < 400; ++I) {
+    ModelRequest Next = request("w", 100 + static_cast<std::uint64_t>(I) % 40);
+    Next.Repeated = I % 2 == 1;
+    const bool Repeated = Next.Repeated;
+    Dispatcher.offer(std::move(Next), Now);
+    const auto Made = Dispatcher.pump(Now);
+    ASSERT_EQ(Made.size(), 1U);
+    ASSERT_FALSE(Made[0].Where.empty());
+    Canary += Made[0].Where == "r0" ? 1 : 0;
+    EXPECT_FALSE(Repeated && Made[0].Where == "r0");
+    serve(Made);
+    Now += 20ms;
+    serve({});
+  }
+  EXPECT_GE(Canary, 10);
+  EXPECT_LE(Canary, 20);
+}
+
 TEST_F(DispatcherFixture, ANewDispatcherChoosesTheEnginesOfTheOldOne) {
   // A dispatcher that took over knew no prefix and had all of them read again
   // elsewhere.
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -143,8 +143,8 @@
 
 std::uint16_t freePort() {
   static std::uint16_t Next =
-      FirstPort + static_cast<std::uint16_t>(::getpid() * 37 %
-                                             (LastPort - FirstPort));
+      FirstPort +
+      static_cast<std::uint16_t>(::getpid() * 37 % (LastPort - FirstPort));
   for (int Tried = FirstPort; Tried <= LastPort; ++Tried) {
     Next = Next >= LastPort ? FirstPort : Next + 1;
     if (claimPort(Next) && bindable(Next))
