--- a/src/nutmegdrift/control/membership_controller.cpp
+++ b/src/nutmegdrift/control/membership_controller.cpp
@@ -40,6 +40,9 @@
   const auto Now = m_clock.now();
   m_isolated = m_isolated || (m_confirmedAt && !confirmedAt(Now));
   if (m_lastTick && Now - *m_lastTick > MaxTickGap) {
+    // The platform may have been back meanwhile.
+    if (m_failingSince)
+      m_failingSince = Now;
     for (auto &[Name, Peer] : m_peers)
       if (Peer.HeardAt)
         Peer.HeardAt = Now;
--- a/src/nutmegdrift/control/ownership_controller_test.cpp
+++ b/src/nutmegdrift/control/ownership_controller_test.cpp
@@ -407,6 +407,21 @@
             "");
 }
 
+// The platform comes back while a daemon is paused, and fails again. The pause
+// must not count towards the time after which every lease has run out.
+TEST(OutageAfterPause, LeasesRunFromTheEndOfThePause) {
+  EXPECT_EQ(violationUnder({{2, 3, 1},
+                            {2, 2, 11},
+                            {2, 1, 11},
+                            {0, 0, 14},
+                            {1, 3, 4},
+                            {0, 0, 8},
+                            {1, 0, 4},
+                            {0, 0, 7},
+                            {1, 3, 1}}),
+            "");
+}
+
 // A daemon cut from the platform alone must not count its own cut towards the
 // time after which every lease has run out in an outage.
 TEST(OutageAfterCut, LeasesRunFromTheOutage) {
