--- a/include/nutmegdrift/ctl/fleet_view.h
+++ b/include/nutmegdrift/ctl/fleet_view.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace nutmegdrift::ctl {
@@ -67,6 +68,10 @@
 /// Parses an answer of /admin/events. Error: MalformedRequest.
 Result<std::vector<ProcessEvent>> parseEvents(const std::string &Text);
 
+/// The event in one line of a saved log, "time_us=N process=P event=E key=value
+/// ..."; what stands before time_us is left out. Nothing if the line has none.
+std::optional<ProcessEvent> parseLogLine(std::string_view Line);
+
 bool matches(const ProcessEvent &Value, const TimelineFilter &Filter);
 
 /// Events that match, by wall time, then process, then sequence.
--- a/src/nutmegdrift/ctl/commands.cpp
+++ b/src/nutmegdrift/ctl/commands.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <fstream>
 #include <iomanip>
 #include <ostream>
 #include <set>
@@ -526,8 +527,34 @@
   }
 }
 
+/// Events of saved logs, numbered by line so that the order in a file holds for
+/// events of the same time.
+Result<std::vector<ProcessEvent>> eventsOfLogs(const std::string &Files) {
+  std::vector<ProcessEvent> Out;
+  std::istringstream Names(Files);
+  for (std::string Name; std::getline(Names, Name, ',');) {
+    std::ifstream File(Name);
+    if (!File)
+      return fail(ErrorKind::NotFound, "cannot read the log " + Name);
+    std::uint64_t Number = 0;
+    for (std::string Line; std::getline(File, Line);) {
+      ++Number;
+      if (auto Item = parseLogLine(Line)) {
+        Item->Value.Sequence = Number;
+        Out.push_back(std::move(*Item));
+      }
+    }
+  }
+  return Out;
+}
+
 Result<ExitCode> timeline(const Invocation &In) {
   BOOST_LEAF_AUTO(Filter, filterFrom(In));
+  if (const auto Logs = In.option("logs"); !Logs.empty()) {
+    BOOST_LEAF_AUTO(Saved, eventsOfLogs(Logs));
+    printTimeline(In, mergeTimeline(std::move(Saved), Filter));
+    return ExitCode::Done;
+  }
   BOOST_LEAF_AUTO(Daemons, daemonsOf(In));
   std::vector<ProcessEvent> Events;
   bool All = true;
@@ -611,7 +638,8 @@
        {{"request", "Only this request id"},
         {"workspace", "Only this workspace"},
         {"endpoint", "Only this endpoint"},
-        {"since", "Only events of the last time, such as 10min"}},
+        {"since", "Only events of the last time, such as 10min"},
+        {"logs", "Read these saved logs instead, separated by commas"}},
        timeline},
       {"completion bash",
        "",
--- a/src/nutmegdrift/ctl/ctl_test.cpp
+++ b/src/nutmegdrift/ctl/ctl_test.cpp
@@ -7,6 +7,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <map>
 #include <sstream>
 
@@ -292,5 +293,32 @@
   EXPECT_EQ(run({"timeline"}), ExitCode::Partial);
 }
 
+// A request's course has to be found in logs that were saved from several VMs,
+// when the daemons that wrote them are gone.
+TEST_F(CtlTest, TimelineReadsSavedLogs) {
+  const auto Save = [](const std::string &Name, const std::string &Text) {
+    const auto Path = ::testing::TempDir() + Name;
+    std::ofstream(Path) << Text;
+    return Path;
+  };
+  const auto A = Save("a.log", "starting\n"
+                               "time_us=3000000 process=a event=z request=r1 "
+                               "message=\"said \\\"no\\\" = late\"\n"
+                               "time_us=1000000 process=a event=x request=r1\n"
+                               "time_us=soon process=a event=x request=r1\n");
+  const auto B =
+      Save("b.log", "  3.01 vm-b time_us=2000000 process=b event=y "
+                    "request=r1 cause=\n"
+                    "time_us=2000000 process=b event=y request=r2\n");
+  EXPECT_EQ(run({"timeline", "--request", "r1", "--logs", A + "," + B}),
+            ExitCode::Done);
+  EXPECT_EQ(m_out.str(),
+            "1970-01-01T00:00:01.000000Z a event=x request=r1\n"
+            "1970-01-01T00:00:02.000000Z b event=y request=r1 cause=\"\"\n"
+            "1970-01-01T00:00:03.000000Z a event=z request=r1 "
+            "message=\"said \\\"no\\\" = late\"\n");
+  EXPECT_EQ(run({"timeline", "--logs", A + ".gone"}), ExitCode::NotFound);
+}
+
 } // namespace
 } // namespace nutmegdrift::ctl
--- a/src/nutmegdrift/ctl/fleet_view.cpp
+++ b/src/nutmegdrift/ctl/fleet_view.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <sstream>
 
 namespace nutmegdrift::ctl {
@@ -133,6 +134,62 @@
   }
 }
 
+namespace {
+
+/// Takes the next key=value pair off the front of Text. A quoted value may hold
+/// any character, with a backslash before quotes and backslashes.
+std::optional<std::pair<std::string, std::string>>
+takeField(std::string_view &Text) {
+  Text.remove_prefix(std::min(Text.find_first_not_of(' '), Text.size()));
+  const auto Equals = Text.find('=');
+  if (Text.empty() || Equals == std::string_view::npos)
+    return std::nullopt;
+  std::pair<std::string, std::string> Out{Text.substr(0, Equals), ""};
+  Text.remove_prefix(Equals + 1);
+  if (Text.empty() || Text.front() != '"') {
+    const auto End = std::min(Text.find(' '), Text.size());
+    Out.second = Text.substr(0, End);
+    Text.remove_prefix(End);
+    return Out;
+  }
+  std::size_t At = 1;
+  for (; At < Text.size() && Text[At] != '"'; ++At) {
+    At += Text[At] == '\\' && At + 1 < Text.size() ? 1 : 0;
+    Out.second += Text[At];
+  }
+  Text.remove_prefix(std::min(At + 1, Text.size()));
+  return Out;
+}
+
+} // namespace
+
+std::optional<ProcessEvent> parseLogLine(std::string_view Line) {
+  constexpr std::string_view First = "time_us=";
+  const auto Start = Line.find(First);
+  if (Start == std::string_view::npos)
+    return std::nullopt;
+  Line.remove_prefix(Start);
+  ProcessEvent Out;
+  while (auto Field = takeField(Line)) {
+    auto &[Key, Value] = *Field;
+    if (Key == "time_us") {
+      const auto [End, Code] = std::from_chars(
+          Value.data(), Value.data() + Value.size(), Out.Value.WallMicros);
+      if (Code != std::errc() || End != Value.data() + Value.size())
+        return std::nullopt;
+    } else if (Key == "process" && Out.Process.empty()) {
+      Out.Process = std::move(Value);
+    } else if (Key == "event" && Out.Value.Name.empty()) {
+      Out.Value.Name = std::move(Value);
+    } else {
+      Out.Value.Fields.push_back(std::move(*Field));
+    }
+  }
+  if (Out.Process.empty() || Out.Value.Name.empty())
+    return std::nullopt;
+  return Out;
+}
+
 bool matches(const ProcessEvent &Value, const TimelineFilter &Filter) {
   const auto &Item = Value.Value;
   return Item.WallMicros >= Filter.SinceMicros &&
