--- a/include/nutmegdrift/routing/engine_estimate.h
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -46,6 +46,27 @@
   std::uint32_t m_tokens = 0;
 };
 
+/// The shared prompt parts in an engine's memory, the latest used kept longest.
+class PrefixMemory {
+public:
+  /// Tokens at the front of the prompt that need not be read again.
+  [[nodiscard]] std::uint32_t known(const SharedPrefix &Prefix) const;
+  /// The parts were read or used.
+  void use(const SharedPrefix &Prefix);
+  /// Forgets the parts used longest ago until all fit into Room tokens.
+  void evictTo(std::uint64_t Room);
+
+private:
+  struct Part {
+    std::uint32_t Tokens;
+    std::list<std::uint64_t>::iterator Use;
+  };
+
+  std::unordered_map<std::uint64_t, Part> m_parts; ///< By chain.
+  std::list<std::uint64_t> m_uses; ///< Chains, the latest used first.
+  std::uint64_t m_tokens = 0;      ///< Sum over m_parts.
+};
+
 /// Number of one request, unique within a dispatcher.
 using RequestKey = std::uint64_t;
 
@@ -113,15 +134,9 @@
     TimePoint Placed;
     Duration Predicted; ///< From placing to the end of its prompt.
   };
-  struct Cached {
-    std::uint32_t Tokens;
-    std::list<std::uint64_t>::iterator Use;
-  };
-
   [[nodiscard]] TimePoint headBegan() const;
   void learnOverhead(const Waiting &Done, TimePoint Now);
   void learnRate(TimePoint Now);
-  void remember(const SharedPrefix &Prefix);
   void evict();
 
   const EngineTraits m_traits;
@@ -141,10 +156,8 @@
   };
   std::unordered_map<RequestKey, Present> m_requests;
   Duration m_meanStay = InitialStay;
-  std::uint64_t m_heldTokens = 0;                    ///< Sum over m_requests.
-  std::unordered_map<std::uint64_t, Cached> m_cache; ///< By chain.
-  std::list<std::uint64_t> m_uses;  ///< Chains, the latest used first.
-  std::uint64_t m_cachedTokens = 0; ///< Sum over m_cache.
+  std::uint64_t m_heldTokens = 0; ///< Sum over m_requests.
+  PrefixMemory m_memory;
 };
 
 } // namespace nutmegdrift::routing
--- /dev/null
+++ b/src/nutmegdrift/gateway/yaml_values.h
@@ -0,0 +1,86 @@
+// Reading of values from YAML with errors that name the field and its line.
+#ifndef NUTMEGDRIFT_GATEWAY_YAML_VALUES_H
+#define NUTMEGDRIFT_GATEWAY_YAML_VALUES_H
+
+#include "nutmegdrift/routing/model_dispatcher.h"
+
+#include <yaml-cpp/yaml.h>
+
+namespace nutmegdrift::gateway {
+
+/// Thrown while parsing, turned into an Error by the function that parses a
+/// file.
+struct BadSetting {
+  std::string Message;
+};
+
+[[noreturn]] inline void bad(const YAML::Node &At, const std::string &Name,
+                             const std::string &What) {
+  std::string Where;
+  if (At.IsDefined() && !At.Mark().is_null())
+    Where = " (line " + std::to_string(At.Mark().line + 1) + ")";
+  throw BadSetting{Name + ": " + What + Where};
+}
+
+template <class T>
+T valueOf(const YAML::Node &Parent, const std::string &Name) {
+  const YAML::Node Node = Parent[Name];
+  if (!Node || !Node.IsScalar())
+    bad(Parent, Name, "missing");
+  try {
+    return Node.as<T>();
+  } catch (const YAML::Exception &) {
+    bad(Node, Name, "wrong type");
+  }
+}
+
+template <class T>
+T valueOr(const YAML::Node &Parent, const std::string &Name, T Default) {
+  const YAML::Node Node = Parent[Name];
+  if (!Node || Node.IsNull())
+    return Default;
+  return valueOf<T>(Parent, Name);
+}
+
+inline std::int64_t positive(const YAML::Node &Parent, const std::string &Name,
+                             std::int64_t Default) {
+  const auto Value = valueOr<std::int64_t>(Parent, Name, Default);
+  if (Value <= 0)
+    bad(Parent[Name], Name, "must be above 0");
+  return Value;
+}
+
+inline double fraction(const YAML::Node &Parent, const std::string &Name,
+                       double Default) {
+  const auto Value = valueOr<double>(Parent, Name, Default);
+  if (!(Value > 0.0))
+    bad(Parent[Name], Name, "must be above 0");
+  return Value;
+}
+
+/// Options of a dispatcher; those not given keep their defaults.
+inline routing::DispatcherOptions dispatcherOptionsOf(const YAML::Node &Node) {
+  routing::DispatcherOptions Out;
+  if (!Node)
+    return Out;
+  auto Time = [&](const char *Name, Duration Default) {
+    const double Millis = valueOr<double>(
+        Node, Name, std::chrono::duration<double, std::milli>(Default).count());
+    if (!(Millis >= 0.0))
+      bad(Node[Name], Name, "must be 0 or more");
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(Millis));
+  };
+  Out.TargetBacklog = Time("target_backlog_ms", Out.TargetBacklog);
+  Out.ReadingDuty = fraction(Node, "reading_duty", Out.ReadingDuty);
+  Out.RereadCost = Time("reread_cost_ms", Out.RereadCost);
+  Out.LateCost = Time("late_cost_ms", Out.LateCost);
+  Out.WaitWeight = fraction(Node, "wait_weight", Out.WaitWeight);
+  Out.TargetShare = fraction(Node, "target_share", Out.TargetShare);
+  Out.LateWait = Time("late_wait_ms", Out.LateWait);
+  return Out;
+}
+
+} // namespace nutmegdrift::gateway
+
+#endif
--- a/src/nutmegdrift/routing/engine_estimate.cpp
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -35,6 +35,41 @@
   }
 }
 
+std::uint32_t PrefixMemory::known(const SharedPrefix &Prefix) const {
+  std::uint32_t Known = 0;
+  for (const SharedPrefix::Level &Level : Prefix.levels()) {
+    if (!m_parts.contains(Level.Chain))
+      break;
+    Known += Level.Tokens;
+  }
+  return Known;
+}
+
+void PrefixMemory::use(const SharedPrefix &Prefix) {
+  // Later parts are used last, so that they are evicted first.
+  const auto &Levels = Prefix.levels();
+  for (auto Level = Levels.rbegin(); Level != Levels.rend(); ++Level) {
+    const auto Found = m_parts.find(Level->Chain);
+    if (Found != m_parts.end()) {
+      m_uses.splice(m_uses.begin(), m_uses, Found->second.Use);
+      continue;
+    }
+    m_uses.push_front(Level->Chain);
+    m_parts.emplace(Level->Chain,
+                    Part{.Tokens = Level->Tokens, .Use = m_uses.begin()});
+    m_tokens += Level->Tokens;
+  }
+}
+
+void PrefixMemory::evictTo(std::uint64_t Room) {
+  while (m_tokens > Room && !m_uses.empty()) {
+    const auto Oldest = m_parts.find(m_uses.back());
+    m_tokens -= Oldest->second.Tokens;
+    m_parts.erase(Oldest);
+    m_uses.pop_back();
+  }
+}
+
 EngineEstimate::EngineEstimate(EngineTraits Traits, double InitialTokensPerMs)
     : m_traits(Traits), m_rate(InitialTokensPerMs) {}
 
@@ -53,7 +88,8 @@
   const std::uint64_t Held = std::uint64_t{PromptTokens} + OutputTokens;
   m_requests[Key] = {.Tokens = Held, .Placed = Now};
   m_heldTokens += Held;
-  remember(Prefix);
+  m_memory.use(Prefix);
+  evict();
 }
 
 void EngineEstimate::started(RequestKey Key, TimePoint Now) {
@@ -147,45 +183,16 @@
 }
 
 std::uint32_t EngineEstimate::cachedTokens(const SharedPrefix &Prefix) const {
-  std::uint32_t Known = 0;
-  for (const SharedPrefix::Level &Level : Prefix.levels()) {
-    if (!m_cache.contains(Level.Chain))
-      break;
-    Known += Level.Tokens;
-  }
-  return Known;
+  return m_memory.known(Prefix);
 }
 
 Duration EngineEstimate::timeToRead(std::uint32_t Tokens) const {
   return fromMs(static_cast<double>(Tokens) / m_rate);
 }
 
-void EngineEstimate::remember(const SharedPrefix &Prefix) {
-  // Later parts are used last, so that they are evicted first.
-  const auto &Levels = Prefix.levels();
-  for (auto Level = Levels.rbegin(); Level != Levels.rend(); ++Level) {
-    const auto Found = m_cache.find(Level->Chain);
-    if (Found != m_cache.end()) {
-      m_uses.splice(m_uses.begin(), m_uses, Found->second.Use);
-      continue;
-    }
-    m_uses.push_front(Level->Chain);
-    m_cache.emplace(Level->Chain,
-                    Cached{.Tokens = Level->Tokens, .Use = m_uses.begin()});
-    m_cachedTokens += Level->Tokens;
-  }
-  evict();
-}
-
 void EngineEstimate::evict() {
-  const std::uint64_t Room =
-      m_traits.KvTokens > m_heldTokens ? m_traits.KvTokens - m_heldTokens : 0;
-  while (m_cachedTokens > Room && !m_uses.empty()) {
-    const auto Oldest = m_cache.find(m_uses.back());
-    m_cachedTokens -= Oldest->second.Tokens;
-    m_cache.erase(Oldest);
-    m_uses.pop_back();
-  }
+  m_memory.evictTo(
+      m_traits.KvTokens > m_heldTokens ? m_traits.KvTokens - m_heldTokens : 0);
 }
 
 } // namespace nutmegdrift::routing
