Add an emulator for placement policies

nutmeglab plays a YAML load against emulated engines in virtual time, with the daemons' dispatcher and three simple policies, and gives a table and a drawing. The engine reads prompts in chunks, keeps shared parts in a bounded memory and makes one token a step. Tests: the engine's times and memory, errors that name field and line, every request ends once, runs repeat, and the dispatcher earns more than a policy that does not know shared prompts.

--- /dev/null
+++ b/src/nutmegdrift/lab/lab_test.cpp
@@ -0,0 +1,164 @@
+// Tests of the emulated engine, the scenarios and the runs.
+#include "nutmegdrift/lab/experiment.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace nutmegdrift::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Start{1h};
+
+routing::SharedPrefix prefix(std::uint64_t Shared, std::uint32_t Tokens) {
+  return routing::SharedPrefix(
+      {{.Id = Shared, .Tokens = Tokens}, {.Id = 999, .Tokens = 1}});
+}
+
+/// Runs the engine until it is idle; the times of first and last tokens.
+std::map<RequestKey, std::pair<TimePoint, TimePoint>> drain(EngineModel &Of) {
+  std::map<RequestKey, std::pair<TimePoint, TimePoint>> Out;
+  while (const auto At = Of.stepEnds())
+    for (const EngineProgress &Each : Of.endStep()) {
+      if (Each.First)
+        Out[Each.Key].first = *At;
+      if (Each.Done)
+        Out[Each.Key].second = *At;
+    }
+  return Out;
+}
+
+TEST(EngineModel, ReadsAPromptInChunksAndThenMakesATokenAStep) {
+  EngineModel Engine({.PromptTokensPerMs = 50.0,
+                      .ChunkTokens = 1000,
+                      .Step = 4ms,
+                      .StepPerRequest = 0ms});
+  Engine.submit(1, {}, 2500, 3, Start);
+  const auto Times = drain(Engine);
+  // Three steps with 50 ms of reading, then two steps for two more tokens.
+  EXPECT_EQ(Times.at(1).first, Start + 50ms + 12ms);
+  EXPECT_EQ(Times.at(1).second, Start + 50ms + 20ms);
+  EXPECT_EQ(Engine.tokensRead(), 2500U);
+}
+
+TEST(EngineModel, DoesNotReadWhatItsMemoryHolds) {
+  EngineModel Engine({.KvTokens = 10000});
+  Engine.submit(1, prefix(7, 4000), 5000, 1, Start);
+  drain(Engine);
+  Engine.submit(2, prefix(7, 4000), 5000, 1, Start + 1s);
+  drain(Engine);
+  EXPECT_EQ(Engine.tokensRead(), 6000U);
+  // Other parts push it out.
+  Engine.submit(3, prefix(8, 8000), 9000, 1, Start + 2s);
+  drain(Engine);
+  Engine.submit(4, prefix(7, 4000), 5000, 1, Start + 3s);
+  drain(Engine);
+  EXPECT_EQ(Engine.tokensRead(), 6000U + 9000U + 5000U);
+}
+
+TEST(EngineModel, RequestsBeyondItsSlotsWait) {
+  EngineModel Engine({.Slots = 1});
+  Engine.submit(1, {}, 100, 10, Start);
+  Engine.submit(2, {}, 100, 10, Start);
+  EXPECT_EQ(Engine.requests(), 2U);
+  const auto Times = drain(Engine);
+  EXPECT_GT(Times.at(2).first, Times.at(1).second);
+}
+
+TEST(EngineModel, ForgetsCancelledAndCrashedRequests) {
+  EngineModel Engine({});
+  Engine.submit(1, {}, 100, 10, Start);
+  Engine.submit(2, {}, 100, 10, Start);
+  Engine.cancel(1);
+  Engine.cancel(1);
+  EXPECT_EQ(Engine.crash(), std::vector<RequestKey>{2});
+  EXPECT_FALSE(Engine.stepEnds());
+  Engine.submit(3, {}, 100, 1, Start + 1s);
+  EXPECT_EQ(drain(Engine).size(), 1U);
+}
+
+Expected<Scenario> parse(const std::string &Yaml) {
+  return capture([&] { return parseScenario(Yaml); });
+}
+
+const std::string Small = "seconds: 4\n"
+                          "engines: {count: 2}\n"
+                          "kinds: [{name: a, per_second: 20}]\n"
+                          "policies: [{name: p}]\n";
+
+TEST(Scenario, NamesTheFieldAndItsLine) {
+  ASSERT_TRUE(parse(Small));
+  for (const auto &[Bad, Field] :
+       {std::pair{"seconds: -1\n", "seconds"},
+        {"loads: [0]\n", "list"},
+        {"kinds: [{name: a, per_sec: 3}]\n", "per_sec"},
+        {"policies: [{name: p, base: best}]\n", "base"},
+        {"events: [{kind: rain}]\n", "kind"},
+        {"speed: 3\n", "speed"}}) {
+    const std::string Key = std::string(Bad).substr(0, 5);
+    std::string Text = "# first\n";
+    std::istringstream Lines(Small);
+    for (std::string Line; std::getline(Lines, Line);)
+      if (Line.substr(0, 5) != Key)
+        Text += Line + "\n";
+    const auto Read = parse(Text + Bad);
+    ASSERT_FALSE(Read) << Bad;
+    EXPECT_NE(Read.Failure.Message.find(Field), std::string::npos)
+        << Read.Failure.Message;
+  }
+}
+
+TEST(Experiment, EveryRequestEndsOnceAndRunsRepeat) {
+  const auto Read = parse(Small);
+  ASSERT_TRUE(Read);
+  Scenario Of = *Read;
+  Of.Events = {
+      {.What = EventKind::EnginesLost, .At = 1s, .For = 1s, .Count = 1}};
+  for (const std::string &Name : placerNames()) {
+    const PolicySpec Policy{.Name = Name, .Base = Name};
+    const RunOutcome Once = runPolicy(Of, Policy, 3.0);
+    EXPECT_GT(Once.Asked, 100U);
+    EXPECT_EQ(Once.InTarget + Once.Late + Once.Refused + Once.Failed,
+              Once.Asked)
+        << Name;
+    EXPECT_EQ(Once, runPolicy(Of, Policy, 3.0)) << Name;
+  }
+}
+
+// The emulator has to show what it is for: with long shared prompts a policy
+// that knows them reads less and earns more than one that does not.
+TEST(Experiment, ShowsWhatSharedPromptsAreWorth) {
+  auto Of = capture([] {
+    return loadScenario(std::string(NUTMEGDRIFT_EXAMPLES) +
+                        "/lab/shared-prompts.yaml");
+  });
+  ASSERT_TRUE(Of) << Of.Failure.Message;
+  const RunOutcome Own = runPolicy(*Of, {"own", "dispatcher", {}}, 1.0);
+  const RunOutcome Blind = runPolicy(*Of, {"blind", "round-robin", {}}, 1.0);
+  EXPECT_LT(Own.TokensRead * Blind.PromptTokens,
+            Blind.TokensRead * Own.PromptTokens);
+  EXPECT_GT(Own.worth(), Blind.worth());
+}
+
+TEST(Reports, ListTheBestFirstAndDrawALineEach) {
+  const std::vector<RunOutcome> All = {
+      {.Policy = "poor", .Load = 1.0, .Earned = 1.0, .Owed = 4.0},
+      {.Policy = "good", .Load = 1.0, .Earned = 3.0, .Owed = 4.0},
+      {.Policy = "good", .Load = 2.0, .Earned = 2.0, .Owed = 4.0}};
+  std::ostringstream Table;
+  printOutcomes(All, Table);
+  EXPECT_LT(Table.str().find("good"), Table.str().find("poor"));
+  EXPECT_NE(Table.str().find("0.750"), std::string::npos);
+  std::ostringstream Drawing;
+  drawOutcomes(All, Drawing);
+  const std::string Svg = Drawing.str();
+  EXPECT_NE(Svg.find(">good</text>"), std::string::npos);
+  EXPECT_EQ(Svg.find("nan"), std::string::npos);
+  EXPECT_EQ(Svg.substr(Svg.size() - 7), "</svg>\n");
+}
+
+} // namespace
+} // namespace nutmegdrift::lab
