Listen in one place, and wait after a failed accept there

Placement had its own copy of the listening code, without the pause after a failed accept: out of descriptors it would have asked again at once, for ever. TcpListener now serves both. The test takes all descriptors away and counts the loop's steps.

--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -5,6 +5,7 @@
 
 #include "nutmegdrift/gateway/fleet_beacon.h"
 #include "nutmegdrift/net/byte_stream.h"
+#include "nutmegdrift/net/tcp_listener.h"
 
 namespace nutmegdrift::gateway {
 
@@ -110,13 +111,12 @@
   void fromDispatcher(const DaemonName &Daemon, const PlacementMessage &What);
   void fromClient(Client &From, const PlacementMessage &What);
   void clientLost(Client &Gone);
-  void accept();
   void takeBack(const DaemonName &From);
   void logSummary();
 
   const Environment m_env;
   routing::DispatcherOptions m_options;
-  boost::asio::ip::tcp::acceptor m_acceptor;
+  net::TcpListener m_listener;
   net::Timer m_pumpTimer;
   net::Timer m_lookTimer;
   TimePoint m_lastPump{};
--- a/include/nutmegdrift/net/http_server.h
+++ b/include/nutmegdrift/net/http_server.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/net/byte_stream.h"
 #include "nutmegdrift/net/http_message.h"
+#include "nutmegdrift/net/tcp_listener.h"
 
 #include <set>
 
@@ -72,7 +73,7 @@
   ~HttpServer();
 
   /// False if the address can't be bound.
-  bool listen(const HostPort &Address);
+  bool listen(const HostPort &Address) { return m_listener.listen(Address); }
   void setOptions(const HttpServerOptions &Options) { m_options = Options; }
   /// From now on each answer asks the caller to close its connection.
   void startDraining();
@@ -82,19 +83,16 @@
   [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
   [[nodiscard]] std::size_t activeRequests() const { return m_active; }
   /// Port that was bound, for tests that bind port 0.
-  [[nodiscard]] std::uint16_t port() const;
+  [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
 
 private:
   friend class ServerConnection;
 
-  void accept();
-
   EventLoop &m_loop;
   const Clock &m_clock;
   Handler m_handler;
   HttpServerOptions m_options;
-  boost::asio::ip::tcp::acceptor m_acceptor;
-  Timer m_acceptRetry;
+  TcpListener m_listener;
   std::set<std::shared_ptr<ServerConnection>> m_connections;
   std::size_t m_active = 0;
   bool m_draining = false;
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -178,46 +178,27 @@
 };
 
 Placement::Placement(Environment Env)
-    : m_env(std::move(Env)), m_acceptor(m_env.Loop), m_pumpTimer(m_env.Loop),
-      m_lookTimer(m_env.Loop), m_started(m_env.Clk.now()) {}
+    : m_env(std::move(Env)),
+      m_listener(m_env.Loop,
+                 [this](net::TcpSocket Socket) {
+                   const std::uint32_t Number = m_nextClient++;
+                   auto From = std::make_shared<Client>(*this, Number,
+                                                        std::move(Socket));
+                   m_clients[Number] = From;
+                   From->start();
+                 }),
+      m_pumpTimer(m_env.Loop), m_lookTimer(m_env.Loop),
+      m_started(m_env.Clk.now()) {}
 
 Placement::~Placement() = default;
 
 bool Placement::start() {
-  const auto Endpoint = net::tcpEndpoint(m_env.Internal);
-  if (!Endpoint)
+  if (!m_listener.listen(m_env.Internal))
     return false;
-  boost::system::error_code Failed;
-  m_acceptor.open(Endpoint->protocol(), Failed);
-  if (!Failed)
-    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true),
-                          Failed);
-  if (!Failed)
-    m_acceptor.bind(*Endpoint, Failed);
-  if (!Failed)
-    m_acceptor.listen(boost::asio::socket_base::max_listen_connections, Failed);
-  if (Failed)
-    return false;
-  accept();
   look();
   return true;
 }
 
-void Placement::accept() {
-  m_acceptor.async_accept([this](const boost::system::error_code &Failed,
-                                 net::TcpSocket Socket) {
-    if (Failed == boost::asio::error::operation_aborted)
-      return;
-    if (!Failed) {
-      const std::uint32_t Number = m_nextClient++;
-      auto From = std::make_shared<Client>(*this, Number, std::move(Socket));
-      m_clients[Number] = From;
-      From->start();
-    }
-    accept();
-  });
-}
-
 routing::ModelDispatcher &Placement::dispatcher(const std::string &Service) {
   const auto Found = m_dispatchers.find(Service);
   if (Found != m_dispatchers.end())
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -12,8 +12,6 @@
 /// Time for a caller to read an answer that ended its connection early.
 constexpr Duration LingerTime = std::chrono::seconds(1);
 /// Pause after accept failed, usually for want of descriptors.
-constexpr Duration AcceptPause = std::chrono::milliseconds(50);
-constexpr int Backlog = 512;
 
 } // namespace
 
@@ -280,47 +278,16 @@
 
 HttpServer::HttpServer(EventLoop &Loop, const Clock &Clk, Handler OnRequest)
     : m_loop(Loop), m_clock(Clk), m_handler(std::move(OnRequest)),
-      m_acceptor(Loop), m_acceptRetry(Loop) {}
-
-HttpServer::~HttpServer() {
-  while (!m_connections.empty())
-    (*m_connections.begin())->drop();
-}
-
-bool HttpServer::listen(const HostPort &Address) {
-  const auto Endpoint = tcpEndpoint(Address);
-  if (!Endpoint)
-    return false;
-  boost::system::error_code Failed;
-  m_acceptor.open(Endpoint->protocol(), Failed);
-  if (!Failed)
-    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true),
-                          Failed);
-  if (!Failed)
-    m_acceptor.bind(*Endpoint, Failed);
-  if (!Failed)
-    m_acceptor.listen(Backlog, Failed);
-  if (Failed)
-    return false;
-  accept();
-  return true;
-}
-
-void HttpServer::accept() {
-  m_acceptor.async_accept(
-      [this](const boost::system::error_code &Failed, TcpSocket Socket) {
-        if (Failed == boost::asio::error::operation_aborted)
-          return;
-        if (Failed) {
-          m_acceptRetry.callAfter(AcceptPause, [this] { accept(); });
-          return;
-        }
+      m_listener(Loop, [this](TcpSocket Socket) {
         auto Connection =
             std::make_shared<ServerConnection>(*this, std::move(Socket));
         m_connections.insert(Connection);
         Connection->start();
-        accept();
-      });
+      }) {}
+
+HttpServer::~HttpServer() {
+  while (!m_connections.empty())
+    (*m_connections.begin())->drop();
 }
 
 void HttpServer::startDraining() { m_draining = true; }
@@ -332,10 +299,4 @@
       Connection->drop();
 }
 
-std::uint16_t HttpServer::port() const {
-  boost::system::error_code Failed;
-  const auto Endpoint = m_acceptor.local_endpoint(Failed);
-  return Failed ? 0 : Endpoint.port();
-}
-
 } // namespace nutmegdrift::net
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -4,11 +4,40 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
 namespace nutmegdrift::net {
 namespace {
 
 using namespace std::chrono_literals;
 
+TEST(TcpListener, WithoutDescriptorsItWaitsInsteadOfSpinning) {
+  // A process out of descriptors can't accept; asking again at once would take
+  // the whole processor from the requests that run.
+  EventLoop Loop(1);
+  int Taken = 0;
+  TcpListener Listener(Loop, [&](TcpSocket) { ++Taken; });
+  ASSERT_TRUE(Listener.listen({.Host = "127.0.0.1", .Port = 0}));
+  TcpSocket Caller(Loop);
+  Caller.connect(*tcpEndpoint({.Host = "127.0.0.1", .Port = Listener.port()}));
+  rlimit Before{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &Before), 0);
+  rlimit None = Before;
+  None.rlim_cur = 0;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &None), 0);
+  std::size_t Steps = 0;
+  const auto End = std::chrono::steady_clock::now() + 300ms;
+  while (std::chrono::steady_clock::now() < End)
+    Steps += Loop.run_one_for(20ms);
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &Before), 0);
+  EXPECT_EQ(Taken, 0);
+  EXPECT_LE(Steps, 30U);
+  const auto Last = std::chrono::steady_clock::now() + 2s;
+  while (Taken == 0 && std::chrono::steady_clock::now() < Last)
+    Loop.run_one_for(20ms);
+  EXPECT_EQ(Taken, 1);
+}
+
 TEST(RequestReader, StopsAtTheEndOfTheMessage) {
   RequestReader Reader({});
   const std::string Two = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
--- /dev/null
+++ b/src/nutmegdrift/net/tcp_listener.cpp
@@ -0,0 +1,48 @@
+// Binding and accepting.
+#include "nutmegdrift/net/tcp_listener.h"
+
+namespace nutmegdrift::net {
+
+TcpListener::TcpListener(EventLoop &Loop, OnSocket Taken)
+    : m_taken(std::move(Taken)), m_acceptor(Loop), m_retry(Loop) {}
+
+bool TcpListener::listen(const HostPort &Address) {
+  const auto Endpoint = tcpEndpoint(Address);
+  if (!Endpoint)
+    return false;
+  boost::system::error_code Failed;
+  m_acceptor.open(Endpoint->protocol(), Failed);
+  if (!Failed)
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                          Failed);
+  if (!Failed)
+    m_acceptor.bind(*Endpoint, Failed);
+  if (!Failed)
+    m_acceptor.listen(Backlog, Failed);
+  if (Failed)
+    return false;
+  accept();
+  return true;
+}
+
+void TcpListener::accept() {
+  m_acceptor.async_accept(
+      [this](const boost::system::error_code &Failed, TcpSocket Socket) {
+        if (Failed == boost::asio::error::operation_aborted)
+          return;
+        if (Failed) {
+          m_retry.callAfter(AcceptPause, [this] { accept(); });
+          return;
+        }
+        m_taken(std::move(Socket));
+        accept();
+      });
+}
+
+std::uint16_t TcpListener::port() const {
+  boost::system::error_code Failed;
+  const auto Endpoint = m_acceptor.local_endpoint(Failed);
+  return Failed ? 0 : Endpoint.port();
+}
+
+} // namespace nutmegdrift::net
