--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -49,6 +49,11 @@
   /// without a confirmation of the store.
   static constexpr double KeyTrust = 0.62;
 
+  /// Replicas tried without a connection before the request is refused.
+  static constexpr std::size_t MaxUnreachable = 4;
+  /// To the first byte, without a target in the route.
+  static constexpr Milliseconds DefaultTarget{1000};
+
   Call(CallEnvironment &Env, std::shared_ptr<net::ServerExchange> Exchange);
   ~Call();
 
--- /dev/null
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -0,0 +1,502 @@
+// One attempt of a call at a replica: forwarding, its answer, its failures, and
+// what the caller gets in the end.
+#include "log_text.h"
+#include "nutmegdrift/gateway/call.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace nutmegdrift::gateway {
+
+namespace {
+
+using net::ClientFailure;
+using routing::ReplicaOutcome;
+
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
+/// Least part of a replica's connections that one daemon may open.
+constexpr unsigned LeastConnections = 4;
+/// Part of a replica's connection limit that the fleet uses; the rest covers
+/// daemons that don't know of each other yet.
+constexpr double ConnectionShare = 0.8;
+/// Longer answers are passed on before they are whole.
+constexpr std::size_t MaxHeldAnswer = std::size_t{1} << 20U;
+/// Unsent bytes of a slow caller at which its replica is no longer read.
+constexpr std::size_t MaxUnsent = std::size_t{256} * 1024;
+/// Silence after which a request that may be repeated goes to another replica:
+/// a multiple of the route's target, between two bounds.
+constexpr double SilenceFactor = 3.0;
+constexpr Duration ShortestSilence = std::chrono::milliseconds(300);
+constexpr Duration ModelSilence = std::chrono::milliseconds(1500);
+/// A caller that leaves after this long without a byte says that the replica
+/// is silent.
+constexpr Duration AbandonedSilence = std::chrono::milliseconds(1000);
+/// A request with less time left is not sent again.
+constexpr Milliseconds LeastTimeLeft{30};
+/// Time to come back when no better one is known.
+constexpr Milliseconds ShortRetry{300};
+/// Shortest stream whose pace is compared between versions: a few events.
+constexpr std::size_t LeastPaceBytes = 400;
+
+constexpr int FirstRedirect = 300;
+constexpr int FirstSuccess = 200;
+constexpr int FirstServerError = 500;
+
+bool success(int Status) {
+  return Status >= FirstSuccess && Status < FirstRedirect;
+}
+
+std::string seconds(Milliseconds Time) {
+  const auto Millis = Time.count() % 1000;
+  std::string Fraction = std::to_string(Millis);
+  Fraction.insert(0, 3 - Fraction.size(), '0');
+  return std::to_string(Time.count() / 1000) + "." + Fraction;
+}
+
+} // namespace
+
+void Call::send(const routing::ReplicaId &To) {
+  // On a busy VM the loop may come to the caller's close much later.
+  if (m_exchange->callerGone()) {
+    onCallerGone();
+    return;
+  }
+  routing::Replica *Chosen = m_env.State.Replicas.find(To);
+  m_tried.insert(To);
+  const routing::Service *Of = service();
+  unsigned Bound = std::numeric_limits<unsigned>::max();
+  if (Of && Of->ConnectionLimit > 0)
+    Bound =
+        std::max(LeastConnections,
+                 static_cast<unsigned>(Of->ConnectionLimit * ConnectionShare /
+                                       static_cast<double>(m_env.Daemons())));
+  policy::RetryBudget &Budget =
+      m_env.Budgets
+          .try_emplace(m_service, m_env.Settings.Bounds.RetryShare * 0.75,
+                       m_env.Settings.Bounds.RetryWindow,
+                       m_env.Settings.Bounds.RetryFloor / m_env.Daemons())
+          .first->second;
+  if (m_sends == 0)
+    Budget.onFirstTry(m_env.Clk.now());
+  m_connection = m_env.Pool.acquire(Chosen->Record, Bound,
+                                    routing::mayRepeat(m_route->Kind));
+  m_replica = To;
+  m_head.reset();
+  m_body.clear();
+  m_silent = false;
+  m_events.clear();
+  ++Chosen->InFlight;
+  if (!m_connection) {
+    m_lastError = {.Kind = ErrorKind::QueueFull,
+                   .Message = "all connections to the replica are in use",
+                   .RetryAfter = ShortRetry};
+    attemptRefused();
+    return;
+  }
+  ++m_sends;
+  m_sentAt = m_env.Clk.now();
+  m_firstByteAt = {};
+  m_bodyBytes = 0;
+  if (!m_placement)
+    m_env.State.Rollouts.sent(Chosen->Record);
+  net::HttpRequest &Received = m_exchange->request();
+  net::HttpRequest Out{
+      .Method = Received.Method,
+      .Target = Received.Target,
+      .Headers = m_env.Headers.forward(
+          Received.Headers, {.Replica = To,
+                             .Deadline = std::max(timeLeft(), Milliseconds(1)),
+                             .Workspace = m_workspace,
+                             .ResumeAfter = m_resumeAfter}),
+      .Body = Received.Body};
+  const auto Self = shared_from_this();
+  m_connection->send(
+      net::serialise(Out), ConnectTimeout,
+      {.Accept =
+           [Self](const net::HttpAnswerHead &Head) {
+             return Self->m_env.Headers.readAnswer(Head).Id == Self->m_facts.Id;
+           },
+       .OnHead =
+           [Self](net::HttpAnswerHead Head) { Self->onHead(std::move(Head)); },
+       .OnBody = [Self](std::string_view Body) { Self->onBody(Body); },
+       .OnEnd = [Self] { Self->onEnd(); },
+       .OnFailure = [Self](ClientFailure Why) { Self->onFailure(Why); }},
+      Received.Method == "HEAD");
+  Duration Silence = ModelSilence;
+  if (!m_placement) {
+    const auto Target = m_route->FirstByteTarget.count() > 0
+                            ? m_route->FirstByteTarget
+                            : DefaultTarget;
+    Silence =
+        std::max(ShortestSilence,
+                 std::chrono::duration_cast<Duration>(Target * SilenceFactor));
+  }
+  m_silenceTimer.callAfter(Silence, [Self] { Self->onSilence(); });
+}
+
+void Call::onHead(net::HttpAnswerHead Head) {
+  if (m_over)
+    return;
+  m_silenceTimer.cancel();
+  m_answer = m_env.Headers.readAnswer(Head);
+  m_head = std::move(Head);
+  m_passOn = routing::isStream(m_route->Kind) && success(m_head->Status) &&
+             m_answer.Signed;
+}
+
+void Call::onBody(std::string_view Body) {
+  if (m_over)
+    return;
+  if (m_bodyBytes == 0)
+    m_firstByteAt = m_env.Clk.now();
+  m_bodyBytes += Body.size();
+  if (!m_passOn) {
+    m_body.append(Body);
+    if (m_body.size() > MaxHeldAnswer && !m_streaming && m_answer.Signed)
+      m_passOn = true;
+    else
+      return;
+  }
+  if (!m_streaming)
+    beginStream();
+  if (m_route->Kind == routing::RequestKind::ResumableStream &&
+      m_head->Chunked) {
+    const std::string Whole = m_events.put(Body);
+    m_exchange->write(Whole);
+    if (!m_events.lastId().empty())
+      m_resumeAfter = m_events.lastId();
+  } else if (!m_body.empty()) {
+    m_exchange->write(m_body);
+    m_body.clear();
+  } else {
+    m_exchange->write(Body);
+  }
+  if (m_exchange->unsentBytes() > MaxUnsent && m_connection && m_reading) {
+    m_reading = false;
+    m_connection->pauseReading();
+  }
+}
+
+void Call::beginStream() {
+  m_streaming = true;
+  const double FirstByte =
+      std::chrono::duration<double>(m_env.Clk.now() - m_exchange->received())
+          .count();
+  m_env.Metrics.firstByte(FirstByte);
+  const Duration Held = m_env.Clk.now() - m_exchange->received();
+  if (m_route->FirstByteTarget.count() > 0 && Held > m_route->FirstByteTarget)
+    m_env.Log.line(
+        LogClass::Request, "request.late",
+        {{"request", m_facts.Id},
+         {"route", m_route->Name},
+         {"replica", m_replica},
+         {"dispatcher", m_env.Models.dispatcherOf(m_service)},
+         {"target_ms", millisText(m_route->FirstByteTarget)},
+         {"first_byte_ms", millisText(Held)},
+         {"waited_ms", millisText(m_sentAt - m_exchange->received())},
+         {"predicted_ms", millisText(m_predicted)},
+         {"prompt_tokens", std::to_string(m_facts.PromptTokens)},
+         {"replicas_tried", std::to_string(m_tried.size())}});
+  if (m_placement)
+    m_env.Models.started(*m_placement);
+  m_exchange->begin(m_head->Status,
+                    m_env.Headers.answerHeaders(m_head->Headers),
+                    m_head->ContentLength);
+}
+
+void Call::onEnd() {
+  if (m_over)
+    return;
+  const bool Reused = m_connection->reused();
+  if (Reused)
+    m_env.Pool.noteReuse(false);
+  m_env.Crashes.alive(m_replica);
+  if (m_answer.NotRun) {
+    m_lastError = {.Kind = ErrorKind::QueueFull,
+                   .Message = "the replica did not take the request",
+                   .RetryAfter = ShortRetry};
+    --m_sends;
+    attemptRefused();
+    return;
+  }
+  const int Status = m_head->Status;
+  if (success(Status) && !m_answer.Signed) {
+    attemptFailed(ReplicaOutcome::Failed, "unsigned");
+    return;
+  }
+  if (Status >= FirstServerError) {
+    m_mayHaveRun = true;
+    const auto Head = m_head;
+    const std::string Body = m_body;
+    releaseReplica(ReplicaOutcome::Failed);
+    if (tryAgain(true, "status-" + std::to_string(Status)))
+      return;
+    m_head = Head;
+    m_body = Body;
+    passAnswerOn();
+    return;
+  }
+  if (m_streaming) {
+    if (m_route->Kind == routing::RequestKind::ResumableStream)
+      m_exchange->write(m_events.takeRest());
+    m_exchange->finish();
+    m_env.Metrics.requestServed(Status);
+    releaseReplica(ReplicaOutcome::Served);
+    finish();
+    return;
+  }
+  const auto Head = m_head;
+  const std::string Body = std::move(m_body);
+  releaseReplica(ReplicaOutcome::Served);
+  m_head = Head;
+  m_body = Body;
+  passAnswerOn();
+}
+
+void Call::passAnswerOn() {
+  if (m_streaming) {
+    m_exchange->abort();
+    finish();
+    return;
+  }
+  m_env.Metrics.requestServed(m_head->Status);
+  m_env.Metrics.firstByte(
+      std::chrono::duration<double>(m_env.Clk.now() - m_exchange->received())
+          .count());
+  m_exchange->answer(m_head->Status,
+                     m_env.Headers.answerHeaders(m_head->Headers), m_body);
+  finish();
+}
+
+void Call::onFailure(ClientFailure Failure) {
+  if (m_over)
+    return;
+  const bool Reused = m_connection->reused();
+  if (Failure == ClientFailure::ConnectFailed) {
+    --m_sends;
+    m_env.Crashes.unreachable(m_replica, m_env.Clk.now());
+    releaseReplica(ReplicaOutcome::Unreachable);
+    if (m_lastError.Message.empty())
+      m_lastError = {ErrorKind::NoEndpoint, "the replica can't be reached"};
+    if (m_tried.size() <= MaxUnreachable && tryAgain(false, "unreachable"))
+      return;
+    giveAnswer(m_lastError);
+    return;
+  }
+  if (Reused && !m_head)
+    m_env.Pool.noteReuse(true);
+  m_env.Crashes.broke(m_fingerprint, m_replica, m_env.Clk.now());
+  m_mayHaveRun = true;
+  attemptFailed(Reused && !m_head ? ReplicaOutcome::Abandoned
+                                  : ReplicaOutcome::Failed,
+                net::toString(Failure));
+}
+
+void Call::attemptRefused() {
+  releaseReplica(ReplicaOutcome::Refused);
+  if (tryAgain(false, "refused"))
+    return;
+  giveAnswer(m_lastError);
+}
+
+void Call::attemptFailed(ReplicaOutcome Outcome, std::string_view Cause) {
+  const routing::ReplicaId Replica = m_replica;
+  const bool Reused = m_connection && m_connection->reused();
+  m_mayHaveRun = true;
+  releaseReplica(Outcome);
+  if (tryAgain(true, Cause))
+    return;
+  m_env.Log.line(LogClass::Request, "request.failed",
+                 {{"request", m_facts.Id},
+                  {"route", m_route->Name},
+                  {"replica", Replica},
+                  {"cause", std::string(Cause)},
+                  {"streaming", m_streaming ? "yes" : "no"},
+                  {"reused_connection", Reused ? "yes" : "no"},
+                  {"replicas_tried", std::to_string(m_tried.size())},
+                  {"after_ms", millisText(m_env.Clk.now() - m_sentAt)}});
+  giveAnswer({ErrorKind::EndpointFailed,
+              "the replica's answer failed: " + std::string(Cause)});
+}
+
+bool Call::tryAgain(bool MayHaveRun, std::string_view Cause) {
+  if (m_over || timeLeft() < LeastTimeLeft)
+    return false;
+  if (MayHaveRun && !routing::mayRepeat(m_route->Kind))
+    return false;
+  if (m_streaming && (m_route->Kind != routing::RequestKind::ResumableStream ||
+                      m_resumeAfter.empty()))
+    return false;
+  if (m_sends >= m_route->MaxReplicas)
+    return false;
+  if (m_tried.size() > MaxUnreachable)
+    return false;
+  const auto Budget = m_env.Budgets.find(m_service);
+  if (Cause != "unreachable" && (Budget == m_env.Budgets.end() ||
+                                 !Budget->second.tryRetry(m_env.Clk.now())))
+    return false;
+  m_env.Metrics.repeatSent();
+  if (m_streaming)
+    m_env.Metrics.streamResumed();
+  m_env.Log.line(LogClass::Request, "request.repeated",
+                 {{"request", m_facts.Id},
+                  {"route", m_route->Name},
+                  {"cause", std::string(Cause)},
+                  {"resume_after", m_resumeAfter},
+                  {"replicas_tried", std::to_string(m_tried.size())}});
+  chooseReplica();
+  return true;
+}
+
+void Call::giveAnswer(const Error &Why) {
+  if (m_over)
+    return;
+  Error Given = Why;
+  const ErrorAnswer *Row = &answerFor(Given.Kind);
+  // Statuses that promise "not run" must not follow a request that may have
+  // run.
+  if (m_mayHaveRun && Row->State == RunState::NotRun) {
+    Given.Kind = ErrorKind::EndpointFailed;
+    Given.RetryAfter.reset();
+    Row = &answerFor(Given.Kind);
+  }
+  m_env.Metrics.requestRefused(Given.Kind);
+  m_env.Log.line(
+      LogClass::Request, "request.answered",
+      {{"request", m_facts.Id},
+       {"error", std::string(Row->Name)},
+       {"status", std::to_string(Row->HttpStatus)},
+       {"message", Given.Message},
+       {"route", m_route ? m_route->Name : ""},
+       {"state_version",
+        m_table ? std::to_string(m_table->state().Version) : "0"},
+       {"held_ms", millisText(m_env.Clk.now() - m_exchange->received())}});
+  if (m_streaming) {
+    m_exchange->abort();
+    finish();
+    return;
+  }
+  net::HeaderList Headers{{"Content-Type", "text/plain"}};
+  const Milliseconds Back = Given.RetryAfter.value_or(Row->RetryAfter);
+  if (Back.count() > 0)
+    Headers.add("Retry-After", seconds(Back));
+  m_exchange->answer(Row->HttpStatus, std::move(Headers),
+                     std::string(Row->Name) + ": " + Given.Message + "\n");
+  finish();
+}
+
+void Call::onSilence() {
+  if (m_over || m_head)
+    return;
+  m_silent = true;
+  routing::Replica *Silent = m_env.State.Replicas.find(m_replica);
+  if (Silent && !m_placement)
+    Silent->Health.note(ReplicaOutcome::Silent, 0.0, m_env.Clk.now());
+  m_env.Log.line(LogClass::Request, "replica.silent",
+                 {{"request", m_facts.Id},
+                  {"replica", m_replica},
+                  {"after_ms", millisText(m_env.Clk.now() - m_sentAt)}});
+  if (!routing::mayRepeat(m_route->Kind) || m_sends >= m_route->MaxReplicas ||
+      m_tried.size() > MaxUnreachable)
+    return;
+  const auto Budget = m_env.Budgets.find(m_service);
+  if (Budget == m_env.Budgets.end() ||
+      !Budget->second.tryRetry(m_env.Clk.now()))
+    return;
+  m_mayHaveRun = true;
+  releaseReplica(ReplicaOutcome::Silent);
+  m_env.Metrics.repeatSent();
+  chooseReplica();
+}
+
+void Call::onLimit() {
+  if (m_over)
+    return;
+  if (m_connection) {
+    m_mayHaveRun = true;
+    const bool NoByte = !m_head;
+    const routing::ReplicaId Replica = m_replica;
+    releaseReplica(NoByte ? ReplicaOutcome::Silent : ReplicaOutcome::Abandoned);
+    giveAnswer({ErrorKind::EndpointTimeout,
+                "no whole answer of " + Replica + " in time"});
+    return;
+  }
+  giveAnswer({.Kind = ErrorKind::DeadlineUnreachable,
+              .Message = "no replica was free in time",
+              .RetryAfter = ShortRetry});
+}
+
+void Call::onCallerGone() {
+  if (m_over)
+    return;
+  m_env.Metrics.callerLeft();
+  const bool Silent =
+      m_connection && !m_head && m_env.Clk.now() - m_sentAt > AbandonedSilence;
+  m_env.Log.line(
+      LogClass::Request, "caller.left",
+      {{"request", m_facts.Id},
+       {"replica", m_replica},
+       {"answer_begun", m_streaming ? "yes" : "no"},
+       {"after_ms", millisText(m_env.Clk.now() - m_exchange->received())}});
+  releaseReplica(Silent ? ReplicaOutcome::Silent : ReplicaOutcome::Abandoned);
+  finish();
+}
+
+void Call::noteVersion(const routing::ReplicaRecord &Of,
+                       ReplicaOutcome Outcome) {
+  const bool Failed =
+      Outcome == ReplicaOutcome::Failed || Outcome == ReplicaOutcome::Silent;
+  if (!Failed && Outcome != ReplicaOutcome::Served)
+    return;
+  const TimePoint Now = m_env.Clk.now();
+  policy::VersionSample Sample{
+      .Route = m_route->Name,
+      .Failed = Failed,
+      // A new engine reads prompts that the old ones have in memory, so the
+      // time to the first token says nothing about the version.
+      .Cold = modelCall(),
+      .FirstToken = m_bodyBytes > 0 ? m_firstByteAt - m_sentAt : Duration{0},
+      .At = Now};
+  // The pace of a stream is the time for each kilobyte, which is as good as the
+  // time for each event when compared on one route.
+  if (routing::isStream(m_route->Kind) && m_bodyBytes >= LeastPaceBytes)
+    Sample.TokenGap =
+        (Now - m_firstByteAt) * 1000 / static_cast<std::int64_t>(m_bodyBytes);
+  m_env.State.Rollouts.note(m_service, Of.Version, std::move(Sample));
+}
+
+void Call::releaseReplica(ReplicaOutcome Outcome) {
+  m_silenceTimer.cancel();
+  if (m_placement) {
+    m_env.Models.ended(*m_placement, Outcome);
+    m_placement.reset();
+  }
+  if (!m_replica.empty()) {
+    if (routing::Replica *Used = m_env.State.Replicas.find(m_replica)) {
+      Used->InFlight -= Used->InFlight > 0 ? 1 : 0;
+      noteVersion(Used->Record, Outcome);
+      if (!modelCall())
+        Used->Health.note(Outcome,
+                          m_env.State.Replicas.othersFailureShare(*Used),
+                          m_env.Clk.now());
+    }
+  }
+  if (m_connection) {
+    if (m_connection->busy())
+      m_connection->close();
+    m_env.Pool.release(m_replica, m_connection);
+    m_connection.reset();
+  }
+  m_reading = true;
+  m_replica.clear();
+}
+
+void Call::finish() {
+  m_over = true;
+  m_limitTimer.cancel();
+  m_silenceTimer.cancel();
+  m_exchange->OnCallerGone = nullptr;
+  m_exchange->OnDrained = nullptr;
+}
+
+} // namespace nutmegdrift::gateway
