--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -98,7 +98,7 @@
                          .Service = "s",
                          .Version = I < 6 ? "v1" : "v2"},
                         Start);
-    m_rollouts.order(Order, Start);
+    m_rollouts.order(m_order, Start);
   }
   /// Sends requests at an even rate and returns how many the new version got.
   int send(FleetRollouts &By, int Count) {
@@ -119,7 +119,7 @@
     return m_rollouts.reports(At).at(0).Stage;
   }
 
-  const RolloutOrder Order{.Service = "s", .Version = "v2", .Length = 16s};
+  const RolloutOrder m_order{.Service = "s", .Version = "v2", .Length = 16s};
   routing::ReplicaTable m_replicas;
   FleetRollouts m_rollouts;
 };
@@ -171,9 +171,9 @@
 // decide, and a version that one daemon takes back gets nothing anywhere.
 TEST_F(Rollouts, BadVersionIsTakenBackByTheOutcomesOfAll) {
   FleetRollouts Other;
-  Other.order(Order, Start);
+  Other.order(m_order, Start);
   FleetRollouts Third;
-  Third.order(Order, Start);
+  Third.order(m_order, Start);
   TimePoint At = Start;
   while (At < Start + 10s && reported(At) != RolloutStage::RolledBack) {
     At += 100ms;
@@ -202,7 +202,7 @@
   m_rollouts.tick(m_replicas, Start + 13s);
   FleetRollouts Empty;
   Empty.hear(m_rollouts.news(Start + 13s), {}, Start + 13s);
-  Empty.order(Order, Start + 13s + 200ms);
+  Empty.order(m_order, Start + 13s + 200ms);
   EXPECT_EQ(send(Empty, 10), 10);
   EXPECT_EQ(Empty.reports(Start + 14s).at(0).Stage, RolloutStage::Completed);
 }
