--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -95,8 +95,10 @@
   std::uint64_t Refused = 0;
   std::uint64_t Late = 0; ///< Placed though their target could not be met.
   std::uint64_t TokensRead = 0;
-  std::uint64_t TokensKnown = 0;  ///< In the chosen engine's memory.
-  std::uint64_t TokensReread = 0; ///< Only in another engine's memory.
+  std::uint64_t TokensKnown = 0;   ///< In the chosen engine's memory.
+  std::uint64_t TokensReread = 0;  ///< Only in another engine's memory.
+  std::uint64_t Choices = 0;       ///< Times that an engine was sought.
+  std::uint64_t EnginesPriced = 0; ///< Engines compared in these.
 
   friend bool operator==(const DispatcherTotals &,
                          const DispatcherTotals &) = default;
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -296,6 +296,8 @@
   if (Home && std::find(m_candidates.begin(), m_candidates.end(), Home) ==
                   m_candidates.end())
     m_candidates.push_back(Home);
+  ++m_totals.Choices;
+  m_totals.EnginesPriced += m_candidates.size();
   Choice Best;
   bool BestOut = true;
   const bool CanaryTurn = canaryTurn() && !Wanted.Request.Repeated;
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -245,6 +245,25 @@
   EXPECT_EQ(Homes.size(), 1U);
 }
 
+TEST_F(DispatcherFixture, ComparesFewEnginesHoweverManyThereAre) {
+  // With 140 engines and 260 waiting requests, comparing all engines for each
+  // request took the dispatcher's whole part of a processor.
+  constexpr std::uint64_t MostCompared =
+      12; // Holders, home and eight free ones.
+  replicas(140);
+  for (int Round = 0; Round < 20; ++Round) {
+    for (std::uint64_t I = 0; I < 260; ++I)
+      Dispatcher.offer(request("w" + std::to_string(I % 16), I % 90, 3000),
+                       Now);
+    serve(Dispatcher.pump(Now));
+    Now += 50ms;
+    serve({});
+  }
+  const DispatcherTotals &Totals = Dispatcher.totals();
+  EXPECT_GT(Totals.Choices, 5000U);
+  EXPECT_LE(Totals.EnginesPriced, Totals.Choices * MostCompared);
+}
+
 TEST_F(DispatcherFixture, GivesCanaryReplicasTheirShareOnly) {
   // An idle canary replica is the cheapest engine for every request; a bad
   // version would get most of them.
