--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -2,6 +2,8 @@
 // caller and a scripted replica on real sockets.
 #include "nutmegdrift/gateway/gateway.h"
 
+#include "support/child_process.h"
+
 #include <gtest/gtest.h>
 
 namespace nutmegdrift::gateway {
@@ -356,17 +358,11 @@
   net::HttpServer m_server;
 };
 
-std::uint16_t freePort(net::EventLoop &Loop) {
-  boost::asio::ip::tcp::acceptor Probe(
-      Loop, boost::asio::ip::tcp::endpoint(
-                boost::asio::ip::make_address("127.0.0.1"), 0));
-  return Probe.local_endpoint().port();
-}
-
 struct GatewayFixture : ::testing::Test {
   GatewayFixture() {
     auto Port = [&] {
-      return HostPort{.Host = "127.0.0.1", .Port = freePort(Loop)};
+      return HostPort{.Host = "127.0.0.1",
+                      .Port = nutmegdrift::testing::freePort()};
     };
     Settings = {.Name = "d1",
                 .Zone = "z",
