Fetch shared prompt parts from an engine that has read them

Cause: a request whose shared parts another engine held was read again wherever its holders were busy. Reading 5,000 tokens takes about 80 ms of an engine and is charged; engines can copy them from each other in about 8 ms, and the price list charges that about an eighteenth. Change: the dispatcher knows which parts an engine has read (its first token came) and names the engine that has most of them; the entry daemon adds its address to the request, if both run the same version. Tokens that can be fetched count with the time and price of the transfer instead of the reading. Ruled out: pinning, which keeps all tokens of a request and not only the shared ones.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -113,7 +113,8 @@
   unsigned m_sends = 0; ///< Replicas that the request was sent to.
   bool m_mayHaveRun = false;
   std::optional<routing::RequestKey> m_placement; ///< Model calls only.
-  Error m_lastError; ///< Why the last attempt failed.
+  routing::ReplicaId m_fetchFrom; ///< See routing::ModelDecision.
+  Error m_lastError;              ///< Why the last attempt failed.
 
   // The attempt under way.
   EndpointPool::Connection m_connection;
--- a/include/nutmegdrift/gateway/dialect.h
+++ b/include/nutmegdrift/gateway/dialect.h
@@ -31,6 +31,8 @@
   const std::string *Workspace = nullptr; ///< Null: no keys in force.
   /// Where a resumed stream goes on; empty: as the caller sent it.
   std::string ResumeAfter;
+  /// An engine to fetch shared prompt parts from.
+  std::optional<HostPort> FetchFrom;
 };
 
 /// What the head of a replica's answer says.
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -112,6 +112,7 @@
 struct PlaceGrant {
   std::uint64_t Sequence = 0;
   routing::ReplicaId Where;
+  routing::ReplicaId FetchFrom; ///< See routing::ModelDecision.
   friend bool operator==(const PlaceGrant &, const PlaceGrant &) = default;
 };
 
--- a/include/nutmegdrift/routing/desired_state.h
+++ b/include/nutmegdrift/routing/desired_state.h
@@ -3,6 +3,8 @@
 #ifndef NUTMEGDRIFT_ROUTING_DESIRED_STATE_H
 #define NUTMEGDRIFT_ROUTING_DESIRED_STATE_H
 
+#include "nutmegdrift/base/clock.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -60,6 +62,9 @@
 struct EngineTraits {
   unsigned Slots = 1;         ///< Requests that run at once.
   std::uint64_t KvTokens = 0; ///< Memory for prompt and output tokens.
+  /// Time to fetch 1000 prompt tokens from another engine's memory; 0: engines
+  /// can't fetch.
+  Duration FetchPerThousand{0};
 
   friend bool operator==(const EngineTraits &, const EngineTraits &) = default;
 };
--- a/include/nutmegdrift/routing/engine_estimate.h
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -51,8 +51,12 @@
 public:
   /// Tokens at the front of the prompt that need not be read again.
   [[nodiscard]] std::uint32_t known(const SharedPrefix &Prefix) const;
-  /// The parts were read or used.
+  /// Of these, tokens that have been read: those at the front of the prompt up
+  /// to the first part that is still to be read.
+  [[nodiscard]] std::uint32_t read(const SharedPrefix &Prefix) const;
+  /// The parts are used, or will be when they are read.
   void use(const SharedPrefix &Prefix);
+  void markRead(const SharedPrefix &Prefix);
   /// Forgets the parts used longest ago until all fit into Room tokens.
   void evictTo(std::uint64_t Room);
 
@@ -60,6 +64,7 @@
   struct Part {
     std::uint32_t Tokens;
     std::list<std::uint64_t>::iterator Use;
+    bool Read = false;
   };
 
   std::unordered_map<std::uint64_t, Part> m_parts; ///< By chain.
@@ -95,9 +100,10 @@
 
   EngineEstimate(EngineTraits Traits, double InitialTokensPerMs);
 
+  /// Fetched: shared tokens that come from another engine's memory.
   void placed(RequestKey Key, const SharedPrefix &Prefix,
               std::uint32_t PromptTokens, std::uint32_t OutputTokens,
-              TimePoint Now);
+              TimePoint Now, std::uint32_t Fetched = 0);
   /// The request's first event came.
   void started(RequestKey Key, TimePoint Now);
   /// The request is no longer at the engine.
@@ -116,6 +122,10 @@
     return m_readingAllowance <= Duration{0};
   }
   [[nodiscard]] std::uint32_t cachedTokens(const SharedPrefix &Prefix) const;
+  /// Of these, tokens that other engines may fetch.
+  [[nodiscard]] std::uint32_t readTokens(const SharedPrefix &Prefix) const {
+    return m_memory.read(Prefix);
+  }
   [[nodiscard]] Duration timeToRead(std::uint32_t Tokens) const;
   [[nodiscard]] Duration overhead() const { return m_overhead; }
   /// Mean time that a request is at the engine.
@@ -153,6 +163,7 @@
   struct Present {
     std::uint64_t Tokens;
     TimePoint Placed;
+    SharedPrefix Prefix;
   };
   std::unordered_map<RequestKey, Present> m_requests;
   Duration m_meanStay = InitialStay;
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -36,6 +36,9 @@
 struct ModelDecision {
   RequestKey Key = 0;
   ReplicaId Where{}; ///< Empty: refused.
+  /// An engine whose memory has more of the prompt's shared parts, to fetch
+  /// them from; empty: none.
+  ReplicaId FetchFrom{};
   /// Of a refusal: when a place is expected.
   Milliseconds RetryAfter{0};
   Duration Waited{0};
@@ -58,6 +61,9 @@
   double ReadingDuty = 0.75;
   /// What reading 1000 shared tokens again costs beside the time it takes.
   Duration RereadCost = std::chrono::milliseconds(60);
+  /// What fetching 1000 shared tokens from another engine costs beside the
+  /// time it takes: the platform charges about an eighteenth of reading them.
+  Duration FetchCost = std::chrono::microseconds(3500);
   /// What a late first token costs for each 1000 tokens of a request's size.
   Duration LateCost = std::chrono::milliseconds(20);
   /// Weight of waiting that does not make a request late.
@@ -97,6 +103,7 @@
   std::uint64_t TokensRead = 0;
   std::uint64_t TokensKnown = 0;   ///< In the chosen engine's memory.
   std::uint64_t TokensReread = 0;  ///< Only in another engine's memory.
+  std::uint64_t TokensFetched = 0; ///< From another engine's memory.
   std::uint64_t Choices = 0;       ///< Times that an engine was sought.
   std::uint64_t EnginesPriced = 0; ///< Engines compared in these.
 
@@ -181,15 +188,19 @@
     Duration Reading{0};
     Duration SlotWait{0};
     bool Now = false; ///< The engine takes it now.
+    const Engine *FetchFrom = nullptr;
+    std::uint32_t Fetched = 0; ///< Tokens fetched from there.
   };
 
   [[nodiscard]] Choice choose(const Item &Wanted, const Queue &Of,
                               TimePoint Now);
   /// Cost and times at one engine; Now is not set. Known: shared tokens that
-  /// count as in its memory.
+  /// count as in its memory. Elsewhere: shared tokens that it may fetch.
   [[nodiscard]] Choice price(const Item &Wanted, Engine &At,
-                             std::uint32_t Known, double RereadWeight,
-                             TimePoint Now) const;
+                             std::uint32_t Known, std::uint32_t Elsewhere,
+                             double RereadWeight, TimePoint Now) const;
+  /// The candidate with most of the prefix read, if engines can fetch.
+  [[nodiscard]] const Engine *fetchSource(const Item &Wanted) const;
   [[nodiscard]] Engine *homeOf(const SharedPrefix &Prefix);
   /// Engines worth a look for a request: those that hold its prefix, its home,
   /// and the least busy ones.
@@ -221,6 +232,7 @@
   DispatcherTotals m_totals;
   Random m_random;
   double m_coldPerSecond = 0.0;
+  Duration m_fetchPerThousand{0}; ///< 0: engines can't fetch.
   std::map<ReplicaId, Engine> m_engines;
   /// Engines that were given a prefix, by its last chain. Memory may have been
   /// evicted since.
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -211,6 +211,7 @@
   m_env.Metrics.placementWait(
       std::chrono::duration<double>(Made.Waited).count());
   m_predicted = Made.Predicted;
+  m_fetchFrom = Made.FetchFrom;
   if (Made.Where.empty()) {
     m_placement.reset();
     refuseModel(Made);
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace nutmegdrift::gateway {
 
@@ -99,6 +100,12 @@
   m_bodyBytes = 0;
   if (!m_placement)
     m_env.State.Rollouts.sent(Chosen->Record);
+  std::optional<HostPort> FetchFrom;
+  // Another version's memory is of other weights.
+  if (const routing::Replica *Source =
+          m_env.State.Replicas.find(std::exchange(m_fetchFrom, {}));
+      Source && Source->Record.Version == Chosen->Record.Version)
+    FetchFrom = Source->Record.Address;
   net::HttpRequest &Received = m_exchange->request();
   net::HttpRequest Out{
       .Method = Received.Method,
@@ -107,7 +114,8 @@
           Received.Headers, {.Replica = To,
                              .Deadline = std::max(timeLeft(), Milliseconds(1)),
                              .Workspace = m_workspace,
-                             .ResumeAfter = m_resumeAfter}),
+                             .ResumeAfter = m_resumeAfter,
+                             .FetchFrom = FetchFrom}),
       .Body = Received.Body};
   const auto Self = shared_from_this();
   m_connection->send(
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -105,7 +105,7 @@
     return json::array({3, M.Sequence, static_cast<int>(M.Outcome)});
   }
   json operator()(const PlaceGrant &M) const {
-    return json::array({4, M.Sequence, M.Where});
+    return json::array({4, M.Sequence, M.Where, M.FetchFrom});
   }
   json operator()(const PlaceRefusal &M) const {
     return json::array({5, M.Sequence, M.RetryAfter.count()});
@@ -148,7 +148,8 @@
   }
   case 4:
     return PlaceGrant{.Sequence = V.at(1).get<std::uint64_t>(),
-                      .Where = V.at(2).get<std::string>()};
+                      .Where = V.at(2).get<std::string>(),
+                      .FetchFrom = V.at(3).get<std::string>()};
   case 5:
     return PlaceRefusal{.Sequence = V.at(1).get<std::uint64_t>(),
                         .RetryAfter =
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -76,7 +76,7 @@
       WithdrawRequest{.Sequence = 2},
       StartedReport{.Sequence = 3},
       EndedReport{.Sequence = 4, .Outcome = routing::ReplicaOutcome::Silent},
-      PlaceGrant{.Sequence = 5, .Where = "r"},
+      PlaceGrant{.Sequence = 5, .Where = "r", .FetchFrom = "r2"},
       PlaceRefusal{.Sequence = 6, .RetryAfter = 400ms},
       DispatcherAlive{}};
   std::string Buffer;
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -330,7 +330,8 @@
     To.send(PlaceRefusal{.Sequence = Sequence, .RetryAfter = Made.RetryAfter});
     return;
   }
-  To.send(PlaceGrant{.Sequence = Sequence, .Where = Made.Where});
+  To.send(PlaceGrant{
+      .Sequence = Sequence, .Where = Made.Where, .FetchFrom = Made.FetchFrom});
 }
 
 void Placement::schedulePump() {
@@ -467,6 +468,7 @@
     decideOwn(Granted->Sequence,
               {.Key = Granted->Sequence,
                .Where = Granted->Where,
+               .FetchFrom = Granted->FetchFrom,
                .Waited = Now - Mine->second.Request.Arrived});
     return;
   }
--- a/src/nutmegdrift/gateway/yaml_values.h
+++ b/src/nutmegdrift/gateway/yaml_values.h
@@ -74,6 +74,7 @@
   Out.TargetBacklog = Time("target_backlog_ms", Out.TargetBacklog);
   Out.ReadingDuty = fraction(Node, "reading_duty", Out.ReadingDuty);
   Out.RereadCost = Time("reread_cost_ms", Out.RereadCost);
+  Out.FetchCost = Time("fetch_cost_ms", Out.FetchCost);
   Out.LateCost = Time("late_cost_ms", Out.LateCost);
   Out.WaitWeight = fraction(Node, "wait_weight", Out.WaitWeight);
   Out.TargetShare = fraction(Node, "target_share", Out.TargetShare);
--- a/src/nutmegdrift/routing/engine_estimate.cpp
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -45,6 +45,23 @@
   return Known;
 }
 
+std::uint32_t PrefixMemory::read(const SharedPrefix &Prefix) const {
+  std::uint32_t Read = 0;
+  for (const SharedPrefix::Level &Level : Prefix.levels()) {
+    const auto Found = m_parts.find(Level.Chain);
+    if (Found == m_parts.end() || !Found->second.Read)
+      break;
+    Read += Level.Tokens;
+  }
+  return Read;
+}
+
+void PrefixMemory::markRead(const SharedPrefix &Prefix) {
+  for (const SharedPrefix::Level &Level : Prefix.levels())
+    if (const auto Found = m_parts.find(Level.Chain); Found != m_parts.end())
+      Found->second.Read = true;
+}
+
 void PrefixMemory::use(const SharedPrefix &Prefix) {
   // Later parts are used last, so that they are evicted first.
   const auto &Levels = Prefix.levels();
@@ -75,8 +92,10 @@
 
 void EngineEstimate::placed(RequestKey Key, const SharedPrefix &Prefix,
                             std::uint32_t PromptTokens,
-                            std::uint32_t OutputTokens, TimePoint Now) {
-  const std::uint32_t Known = std::min(cachedTokens(Prefix), PromptTokens);
+                            std::uint32_t OutputTokens, TimePoint Now,
+                            std::uint32_t Fetched) {
+  const std::uint32_t Known =
+      std::min(cachedTokens(Prefix) + Fetched, PromptTokens);
   const Duration Reading = timeToRead(PromptTokens - Known);
   m_readingAllowance -= Reading;
   if (m_waiting.empty())
@@ -86,7 +105,7 @@
                        .Placed = Now,
                        .Predicted = backlog(Now) + Reading});
   const std::uint64_t Held = std::uint64_t{PromptTokens} + OutputTokens;
-  m_requests[Key] = {.Tokens = Held, .Placed = Now};
+  m_requests[Key] = {.Tokens = Held, .Placed = Now, .Prefix = Prefix};
   m_heldTokens += Held;
   m_memory.use(Prefix);
   evict();
@@ -99,6 +118,8 @@
   if (Found == m_waiting.end())
     return;
   learnOverhead(*Found, Now);
+  if (const auto Present = m_requests.find(Key); Present != m_requests.end())
+    m_memory.markRead(Present->second.Prefix);
   m_busyTokens += Found->Tokens;
   m_lastStart = Now;
   // Prompts are read in order of arrival, so those before it are read too.
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -21,6 +21,10 @@
 /// its home by rendezvous hashing. Dispatchers that don't know what earlier
 /// ones placed, and daemons that place alone, so choose the same engine.
 constexpr double HomeTrust = 0.5;
+/// Engines that hold a request's prefix and are looked at for it.
+constexpr std::size_t MostHolders = 3;
+/// Time to open a transfer between two engines.
+constexpr Duration FetchSetup = std::chrono::milliseconds(2);
 /// Least busy engines that are looked at for one request.
 constexpr std::size_t FreeCandidates = 8;
 /// The ranking of engines is made anew after this time.
@@ -76,6 +80,8 @@
 void ModelDispatcher::setReplicas(const std::vector<Replica *> &Usable,
                                   const Service &Traits) {
   m_coldPerSecond = Traits.ColdPerSecond;
+  m_fetchPerThousand =
+      Traits.Engine ? Traits.Engine->FetchPerThousand : Duration{0};
   for (auto &[Id, Each] : m_engines)
     Each.Usable = false;
   const auto Canaries = static_cast<std::size_t>(
@@ -175,6 +181,7 @@
 
 ModelDispatcher::Choice ModelDispatcher::price(const Item &Wanted, Engine &At,
                                                std::uint32_t Known,
+                                               std::uint32_t Elsewhere,
                                                double RereadWeight,
                                                TimePoint Now) const {
   const ModelRequest &Request = Wanted.Request;
@@ -182,7 +189,12 @@
   const std::uint32_t Shared =
       std::min(Wanted.Prefix.tokens(), Request.PromptTokens);
   Known = std::min(Known, Shared);
-  const Duration Own = Estimate.timeToRead(Request.PromptTokens - Known);
+  const std::uint32_t Fetched =
+      std::min(Elsewhere - std::min(Known, Elsewhere), Shared - Known);
+  const Duration Own =
+      Estimate.timeToRead(Request.PromptTokens - Known - Fetched) +
+      (Fetched > 0 ? FetchSetup + scaled(m_fetchPerThousand, Fetched / 1000.0)
+                   : Duration{0});
   const Duration Waiting =
       scaled(Estimate.backlog(Now), 1.0 / m_options.Share) + At.Reserved +
       slotWait(Estimate, At.ReservedSlots, m_options.Share) +
@@ -191,14 +203,35 @@
   const Duration Left =
       scaled(Request.FirstTokenTarget, m_options.TargetShare) -
       (Now - Request.Arrived);
-  Duration Cost =
-      scaled(Waiting, m_options.WaitWeight) +
-      scaled(Own, std::max(m_load, LeastLoad)) +
-      scaled(m_options.RereadCost, RereadWeight * (Shared - Known) / 1000.0) +
-      std::chrono::microseconds(200) * Estimate.requests();
+  Duration Cost = scaled(Waiting, m_options.WaitWeight) +
+                  scaled(Own, std::max(m_load, LeastLoad)) +
+                  scaled(m_options.RereadCost,
+                         RereadWeight * (Shared - Known - Fetched) / 1000.0) +
+                  scaled(m_options.FetchCost, Fetched / 1000.0) +
+                  std::chrono::microseconds(200) * Estimate.requests();
   if (FirstToken > Left)
     Cost += scaled(m_options.LateCost, sizeOf(Request) / 1000.0);
-  return {.Where = &At, .Cost = Cost, .FirstToken = FirstToken, .Reading = Own};
+  return {.Where = &At,
+          .Cost = Cost,
+          .FirstToken = FirstToken,
+          .Reading = Own,
+          .Fetched = Fetched};
+}
+
+const ModelDispatcher::Engine *
+ModelDispatcher::fetchSource(const Item &Wanted) const {
+  if (m_fetchPerThousand == Duration{0})
+    return nullptr;
+  const Engine *Source = nullptr;
+  std::uint32_t Most = 0;
+  for (const Engine *Each : m_candidates) {
+    const std::uint32_t Read = Each->Estimate.readTokens(Wanted.Prefix);
+    if (Read > Most) {
+      Source = Each;
+      Most = Read;
+    }
+  }
+  return Source;
 }
 
 ModelDispatcher::Engine *ModelDispatcher::homeOf(const SharedPrefix &Prefix) {
@@ -268,8 +301,10 @@
         return Each->Estimate.cachedTokens(Wanted.Prefix) <
                Wanted.Prefix.tokens();
       });
-      for (Engine *Each : Holders->second)
-        Add(Each);
+      // The latest holders are the likeliest to hold it still.
+      const std::size_t Count = Holders->second.size();
+      for (std::size_t I = Count - std::min(Count, MostHolders); I < Count; ++I)
+        Add(Holders->second[I]);
       if (Holders->second.empty())
         m_holders.erase(Holders);
     }
@@ -298,6 +333,9 @@
     m_candidates.push_back(Home);
   ++m_totals.Choices;
   m_totals.EnginesPriced += m_candidates.size();
+  const Engine *Source = fetchSource(Wanted);
+  const std::uint32_t Elsewhere =
+      Source ? Source->Estimate.readTokens(Wanted.Prefix) : 0;
   Choice Best;
   bool BestOut = true;
   const bool CanaryTurn = canaryTurn() && !Wanted.Request.Repeated;
@@ -313,7 +351,9 @@
     if (Each == Home)
       Known += static_cast<std::uint32_t>(HomeTrust *
                                           (Wanted.Prefix.tokens() - Known));
-    const Choice Here = price(Wanted, *Each, Known, RereadWeight, Now);
+    Choice Here = price(Wanted, *Each, Known, Each == Source ? 0 : Elsewhere,
+                        RereadWeight, Now);
+    Here.FetchFrom = Here.Fetched > 0 ? Source : nullptr;
     const bool Before = Best.Where && Best.Where->Canary != Each->Canary
                             ? Each->Canary
                             : Here.Cost < Best.Cost;
@@ -490,14 +530,17 @@
   m_placedBeside += m_canaries > 0 ? 1 : 0;
   m_placedCanary += Where.Where->Canary ? 1 : 0;
   m_totals.TokensKnown += Known;
-  m_totals.TokensReread += Anywhere - Known;
-  m_totals.TokensRead += Placed.Request.PromptTokens - Known;
+  m_totals.TokensFetched += Where.Fetched;
+  m_totals.TokensReread += Anywhere - std::min(Known + Where.Fetched, Anywhere);
+  m_totals.TokensRead +=
+      Placed.Request.PromptTokens -
+      std::min(Known + Where.Fetched, Placed.Request.PromptTokens);
   if (Now - Placed.Request.Arrived + Where.FirstToken >
       Placed.Request.FirstTokenTarget)
     ++m_totals.Late;
   Where.Where->Estimate.placed(Placed.Request.Key, Placed.Prefix,
                                Placed.Request.PromptTokens,
-                               Placed.Request.OutputTokens, Now);
+                               Placed.Request.OutputTokens, Now, Where.Fetched);
   if (Now < Where.Where->ColdUntil && m_coldPerSecond > 0)
     Where.Where->Cold.take();
   m_placedAt[Placed.Request.Key] = Where.Where->Id;
@@ -542,10 +585,12 @@
         return false;
       continue;
     }
-    Out.push_back({.Key = Wanted.Request.Key,
-                   .Where = Best.Where->Id,
-                   .Waited = Now - Wanted.Request.Arrived,
-                   .Predicted = Best.FirstToken});
+    Out.push_back(
+        {.Key = Wanted.Request.Key,
+         .Where = Best.Where->Id,
+         .FetchFrom = Best.FetchFrom ? Best.FetchFrom->Id : ReplicaId(),
+         .Waited = Now - Wanted.Request.Arrived,
+         .Predicted = Best.FirstToken});
     place(Wanted, Best, Now);
     From.Got += costInTokens(Wanted.Request);
     removeItem(From, Each.Index);
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -192,7 +192,9 @@
         Table.usable("s"),
         {.Name = "s",
          .ColdPerSecond = 14,
-         .Engine = EngineTraits{.Slots = 16, .KvTokens = 500000}});
+         .Engine = EngineTraits{.Slots = 16,
+                                .KvTokens = 500000,
+                                .FetchPerThousand = FetchPerThousand}});
   }
   ModelRequest request(const std::string &Workspace, std::uint64_t Shared = 1,
                        std::uint32_t SharedTokens = 1000,
@@ -223,6 +225,7 @@
   }
 
   TimePoint Now = Start;
+  Duration FetchPerThousand{0};
   ReplicaTable Table;
   ModelDispatcher Dispatcher{{}, 1};
   RequestKey LastKey = 0;
@@ -264,6 +267,31 @@
   EXPECT_LE(Totals.EnginesPriced, Totals.Choices * MostCompared);
 }
 
+TEST_F(DispatcherFixture, FetchesWhatAnotherEngineHasRead) {
+  // Reading a shared part again takes ten times as long as moving it, and is
+  // paid for.
+  FetchPerThousand = 1ms;
+  replicas(3);
+  std::set<ReplicaId> Used;
+  const auto PlaceElsewhere = [&]() -> ModelDecision {
+    ModelRequest Next = request("w", 7, 6000, 100);
+    Next.Tried = Used;
+    Dispatcher.offer(std::move(Next), Now);
+    const auto Made = Dispatcher.pump(Now);
+    EXPECT_EQ(Made.size(), 1U);
+    Used.insert(Made.at(0).Where);
+    return Made.at(0);
+  };
+  const ModelDecision First = PlaceElsewhere();
+  // The parts are not read yet, so there is nothing to fetch.
+  EXPECT_TRUE(PlaceElsewhere().FetchFrom.empty());
+  Now += 150ms;
+  Dispatcher.started(First.Key, Now);
+  EXPECT_EQ(PlaceElsewhere().FetchFrom, First.Where);
+  EXPECT_EQ(Dispatcher.totals().TokensFetched, 6000U);
+  EXPECT_EQ(Dispatcher.totals().TokensReread, 6000U);
+}
+
 TEST_F(DispatcherFixture, GivesCanaryReplicasTheirShareOnly) {
   // An idle canary replica is the cheapest engine for every request; a bad
   // version would get most of them.
