Weigh a fetched part with half of reading it

Cause: at the price of the transfer alone the dispatcher spread copies over all engines, and each copy takes memory from other parts.

--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -62,8 +62,9 @@
   /// What reading 1000 shared tokens again costs beside the time it takes.
   Duration RereadCost = std::chrono::milliseconds(60);
   /// What fetching 1000 shared tokens from another engine costs beside the
-  /// time it takes: the platform charges about an eighteenth of reading them.
-  Duration FetchCost = std::chrono::microseconds(3500);
+  /// time it takes. The charge alone is an eighteenth of that for reading, but
+  /// each copy pushes other parts out of an engine's memory.
+  Duration FetchCost = std::chrono::milliseconds(30);
   /// What a late first token costs for each 1000 tokens of a request's size.
   Duration LateCost = std::chrono::milliseconds(20);
   /// Weight of waiting that does not make a request late.
