Let requests move early enough to show a small service's fault under load

The fault showed only when all requests had moved; 4 % of the time were 24 requests, their outcomes came with the next beat, and the move was reported as completed before. Change: requests move for 4 % of the time and the time of 30 requests, and outcomes are told every 200 ms meanwhile. The bound of a tenth and 50 is kept. Test: a fault that shows only after the move is found before the report, and the new version stays within the bound; it fails with 4 % alone. The test of a good version notes an outcome for each request now, as daemons do; its bounds are the same.

--- a/include/nutmegdrift/gateway/fleet_rollouts.h
+++ b/include/nutmegdrift/gateway/fleet_rollouts.h
@@ -26,15 +26,25 @@
 /// Canary: some new replicas get CanaryShare of the requests, so that each of
 /// them bears its usual load and a fault under load shows. Moving: all new
 /// requests go to the new version, so that the old replicas run empty before
-/// they are stopped. The time of Moving is short, because until the end of the
-/// move a bad version must not get more than a tenth of all requests.
+/// they are stopped, and a fault shows that the canary's load did not bring
+/// out. The time of Moving is short, because until the end of the move a bad
+/// version must not get more than a tenth of all requests and a fixed number.
 class FleetRollouts {
 public:
-  /// Parts of an order's length after which requests move, and after which the
-  /// move is reported as completed. With CanaryShare the new version gets 8 %
-  /// of the requests until then.
-  static constexpr double MoveAt = 0.80;
+  /// Part of an order's length after which the move is reported as completed.
+  /// What is left is time for reports that are lost.
   static constexpr double CompleteAt = 0.84;
+  /// Least and greatest part of an order's length for which requests move
+  /// before that. With CanaryShare the new version gets 8 % of the requests
+  /// until then.
+  static constexpr double LeastMoving = 0.04;
+  static constexpr double MostMoving = 0.30;
+  /// Requests beside LeastMoving that the new version gets while they move: a
+  /// few more than half of the fixed number allowed. A small service would get
+  /// too few otherwise to show a fault.
+  static constexpr double MovingRequests = 30;
+  /// Time between two beats while requests move and outcomes are to be told.
+  static constexpr Duration MovingBeat = std::chrono::milliseconds(200);
   /// Requests move only if at least this many new replicas take requests for
   /// each old one; fewer could not bear the load.
   static constexpr double LeastFresh = 0.5;
@@ -61,8 +71,12 @@
   bool hear(const std::vector<RolloutNews> &News,
             const std::vector<RolloutOutcome> &Outcomes, TimePoint Now);
 
-  /// Lets time pass. True if a stage changed.
-  bool tick(const routing::ReplicaTable &Replicas, TimePoint Now);
+  /// Lets time pass. True if a stage changed. Daemons: live ones, this one
+  /// included.
+  bool tick(const routing::ReplicaTable &Replicas, std::size_t Daemons,
+            TimePoint Now);
+  /// Whether outcomes should be told at once.
+  [[nodiscard]] bool urgent() const;
 
   /// The replicas that may take new requests, with Replica::Canary set on those
   /// that get only CanaryShare.
@@ -101,10 +115,14 @@
     std::set<std::string> OldVersions{};
     std::uint64_t Sent = 0;       ///< By this daemon, without a dispatcher.
     std::uint64_t SentCanary = 0; ///< Of these, to the new version.
+    std::uint64_t Answered = 0;   ///< Outcomes of this daemon.
   };
 
   void changeStage(Move &Of, RolloutStage To, TimePoint Now);
   [[nodiscard]] static TimePoint after(const Move &Of, double Part);
+  /// Part of the order's length for which requests move.
+  [[nodiscard]] static double movingPart(const Move &Of, std::size_t Daemons,
+                                         TimePoint Now);
 
   std::map<std::string, Move> m_moves; ///< By service.
   /// News of orders that this daemon has not seen yet.
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -90,6 +90,7 @@
   net::HttpServer m_metricsServer;
   net::Timer m_tickTimer;
   TimePoint m_lastSweep{};
+  TimePoint m_lastOutcomes{}; ///< Told beside the usual beats.
 };
 
 } // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/gateway/fleet_rollouts.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts.cpp
@@ -49,6 +49,25 @@
              std::chrono::duration<double>(Of.Order.Length) * Part);
 }
 
+double FleetRollouts::movingPart(const Move &Of, std::size_t Daemons,
+                                 TimePoint Now) {
+  const double Elapsed =
+      std::chrono::duration<double>(Now - Of.Started).count();
+  const double Length = std::chrono::duration<double>(Of.Order.Length).count();
+  if (Of.Answered == 0 || Elapsed <= 0.0)
+    return MostMoving;
+  const double Requests =
+      static_cast<double>(Of.Answered * Daemons) / Elapsed * Length;
+  return std::min(LeastMoving + MovingRequests / Requests, MostMoving);
+}
+
+bool FleetRollouts::urgent() const {
+  return !m_noted.empty() &&
+         std::any_of(m_moves.begin(), m_moves.end(), [](const auto &Each) {
+           return Each.second.Stage == RolloutStage::Moving;
+         });
+}
+
 void FleetRollouts::order(const RolloutOrder &Order, TimePoint Now) {
   const auto Known = m_moves.find(Order.Service);
   if (Known != m_moves.end() && Known->second.Order == Order)
@@ -95,6 +114,7 @@
   const auto Found = m_moves.find(Service);
   if (Found == m_moves.end() || rankOf(Found->second.Stage) > 1)
     return;
+  ++Found->second.Answered;
   Sample.Fresh = Version == Found->second.Order.Version;
   Found->second.Judge.add(Sample);
   const auto Told =
@@ -156,7 +176,8 @@
   return Changed;
 }
 
-bool FleetRollouts::tick(const routing::ReplicaTable &Replicas, TimePoint Now) {
+bool FleetRollouts::tick(const routing::ReplicaTable &Replicas,
+                         std::size_t Daemons, TimePoint Now) {
   bool Changed = false;
   for (auto &[Service, Of] : m_moves) {
     if (rankOf(Of.Stage) > 1)
@@ -169,7 +190,8 @@
       Changed = true;
       continue;
     }
-    if (Of.Stage != RolloutStage::Canary || Now < after(Of, MoveAt))
+    if (Of.Stage != RolloutStage::Canary ||
+        Now < after(Of, CompleteAt - movingPart(Of, Daemons, Now)))
       continue;
     std::size_t Fresh = 0;
     std::size_t Old = 0;
@@ -275,9 +297,10 @@
                 .Stage = Of.Stage,
                 .Since = Of.StageSince,
                 .Reason = Of.Reason};
+    // A move that began late still takes its least time.
     const TimePoint Done =
         std::max(after(Of, CompleteAt),
-                 Of.StageSince + (after(Of, CompleteAt) - after(Of, MoveAt)));
+                 Of.StageSince + (after(Of, LeastMoving) - Of.Started));
     if (Of.Stage == RolloutStage::Moving) {
       Next.Stage = Now >= Done ? RolloutStage::Completed : RolloutStage::Canary;
       Next.Since = Now >= Done ? Done : Of.Started;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -301,8 +301,13 @@
   const TimePoint Now = m_clock.now();
   if (m_state.Freshness.tick(Now))
     m_log.line(LogClass::Fault, "daemon.stalled", {});
-  if (m_state.Rollouts.tick(m_state.Replicas, Now))
+  if (m_state.Rollouts.tick(m_state.Replicas, daemons(), Now))
     rolloutsChanged();
+  if (m_state.Rollouts.urgent() &&
+      Now - m_lastOutcomes >= FleetRollouts::MovingBeat) {
+    m_lastOutcomes = Now;
+    m_beacon.sendNow();
+  }
   if (Now - m_lastSweep >= SweepInterval) {
     m_lastSweep = Now;
     const auto Gone = m_state.Replicas.expire(Now);
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -150,10 +150,12 @@
   TimePoint Completed{};
   for (int Ms = 0; Ms < 16000; Ms += 100) {
     const TimePoint At = Start + std::chrono::milliseconds(Ms);
-    m_rollouts.tick(m_replicas, At);
-    Fresh += send(m_rollouts, 10);
-    m_rollouts.note("s", "v1", sample(false, At));
-    m_rollouts.note("s", "v2", sample(false, At));
+    m_rollouts.tick(m_replicas, 1, At);
+    for (int I = 0; I < 10; ++I) {
+      const int ToFresh = send(m_rollouts, 1);
+      Fresh += ToFresh;
+      m_rollouts.note("s", ToFresh == 1 ? "v2" : "v1", sample(false, At));
+    }
     if (reported(At) == RolloutStage::Completed) {
       Completed = At;
       break;
@@ -182,7 +184,7 @@
     Other.note("s", "v1", sample(false, At));
     Other.note("s", "v2", sample(true, At));
     m_rollouts.hear(Other.news(At), Other.takeOutcomes(), At);
-    m_rollouts.tick(m_replicas, At);
+    m_rollouts.tick(m_replicas, 1, At);
   }
   EXPECT_LT(At, Start + 4s);
   EXPECT_TRUE(Third.hear(m_rollouts.news(At), {}, At));
@@ -191,17 +193,39 @@
   EXPECT_TRUE(Third.admits({.Service = "s", .Version = "v1"}));
 }
 
+// A fault that shows only when the new version bears all requests of a small
+// service: the canary is too small to bring it out, so the requests have to
+// move early enough for the outcomes to be judged before the move is reported.
+TEST_F(Rollouts, FaultUnderLoadIsFoundBeforeTheMoveIsReported) {
+  int Requests = 0;
+  int Fresh = 0;
+  TimePoint At = Start;
+  for (; reported(At) == RolloutStage::Canary && At < Start + 16s; At += 25ms) {
+    m_rollouts.tick(m_replicas, 1, At);
+    ++Requests;
+    const bool ToFresh = send(m_rollouts, 1) == 1;
+    Fresh += ToFresh ? 1 : 0;
+    const bool BearsAll =
+        m_rollouts.news(At).at(0).Stage == RolloutStage::Moving;
+    m_rollouts.note("s", ToFresh ? "v2" : "v1",
+                    sample(BearsAll && Requests % 2 == 0, At));
+  }
+  EXPECT_EQ(reported(At), RolloutStage::RolledBack);
+  // A tenth of the requests of the whole time, and 50.
+  EXPECT_LE(Fresh, 64 + 50);
+}
+
 // Too few new replicas could not bear the load of the old ones.
 TEST_F(Rollouts, WaitsForEnoughNewReplicas) {
   for (int I = 7; I < 12; ++I)
     m_replicas.remove("r" + std::to_string(I), std::nullopt);
-  EXPECT_FALSE(m_rollouts.tick(m_replicas, Start + 15s));
+  EXPECT_FALSE(m_rollouts.tick(m_replicas, 1, Start + 15s));
   EXPECT_EQ(reported(Start + 15s), RolloutStage::Canary);
 }
 
 // A daemon that starts in the middle of a move must not begin it anew.
 TEST_F(Rollouts, RestartedDaemonGoesOnWhereTheOthersAre) {
-  m_rollouts.tick(m_replicas, Start + 13s);
+  m_rollouts.tick(m_replicas, 1, Start + 13s);
   FleetRollouts Empty;
   Empty.hear(m_rollouts.news(Start + 13s), {}, Start + 13s);
   Empty.order(m_order, Start + 13s + 200ms);
