--- a/src/nutmegdrift/lab/placer.cpp
+++ b/src/nutmegdrift/lab/placer.cpp
@@ -23,6 +23,7 @@
 
   void setEngines(const std::vector<unsigned> &Live, TimePoint Now) override {
     std::vector<routing::ReplicaRecord> Records;
+    Records.reserve(Live.size());
     for (const unsigned Each : Live)
       Records.push_back({.Id = std::to_string(Each),
                          .Service = ServiceName,
@@ -134,6 +135,7 @@
 
 std::vector<std::string> placerNames() {
   std::vector<std::string> Out;
+  Out.reserve(Placers.size());
   for (const PlacerEntry &Each : Placers)
     Out.emplace_back(Each.Name);
   return Out;
