Log each daemon's load every two seconds

Cause: to find the VM that all callers of a zone use took a log line of its own; the logs told neither requests nor connections of a daemon. Change: daemon.load tells requests since the last line, active ones, connections, waiting ones, live daemons, and by how much the worst tick was late.

--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -65,6 +65,7 @@
   [[nodiscard]] std::optional<HostPort> addressOf(const DaemonName &Daemon);
   [[nodiscard]] std::vector<HostPort> directoryAddresses();
   void tick();
+  void logLoad(TimePoint Now);
   void checkStopped();
   void applyLimits();
 
@@ -90,7 +91,11 @@
   net::HttpServer m_metricsServer;
   net::Timer m_tickTimer;
   TimePoint m_lastSweep{};
-  TimePoint m_lastOutcomes{}; ///< Told beside the usual beats.
+  TimePoint m_lastTick{};
+  TimePoint m_lastLoad{};             ///< When the load was logged.
+  std::uint64_t m_loggedRequests = 0; ///< Started by then.
+  Duration m_worstLag{0};             ///< Of ticks since then.
+  TimePoint m_lastOutcomes{};         ///< Told beside the usual beats.
 };
 
 } // namespace nutmegdrift::gateway
--- a/include/nutmegdrift/gateway/gateway_metrics.h
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/base/error.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -16,6 +17,8 @@
   ~GatewayMetrics();
 
   void requestStarted();
+  /// Requests started so far.
+  [[nodiscard]] std::uint64_t requests() const;
   /// A whole answer of a replica was passed on.
   void requestServed(int Status);
   /// The gateway answered by itself.
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -15,6 +15,8 @@
 /// daemon closes resting connections.
 constexpr Duration CloseIdleAfter = std::chrono::milliseconds(2500);
 constexpr Duration SweepInterval = std::chrono::milliseconds(500);
+/// Between two log lines of a daemon's load.
+constexpr Duration LoadInterval = std::chrono::seconds(2);
 /// Weight of a live daemon that can't be reached is not known; at least this.
 constexpr double LeastWeight = 0.01;
 
@@ -297,8 +299,32 @@
   m_beacon.sendNow();
 }
 
+void Gateway::logLoad(TimePoint Now) {
+  const std::uint64_t Requests = m_metrics.requests();
+  m_log.line(
+      LogClass::Belief, "daemon.load",
+      {{"requests", std::to_string(Requests - m_loggedRequests)},
+       {"active", std::to_string(m_front.activeRequests())},
+       {"connections", std::to_string(m_front.connections())},
+       {"waiting", std::to_string(m_placement.waiting())},
+       {"daemons", std::to_string(daemons())},
+       {"lag_ms",
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_worstLag)
+                .count())}});
+  m_loggedRequests = Requests;
+  m_lastLoad = Now;
+  m_worstLag = Duration{0};
+}
+
 void Gateway::tick() {
   const TimePoint Now = m_clock.now();
+  if (m_lastTick != TimePoint{})
+    m_worstLag =
+        std::max(m_worstLag, Now - m_lastTick - StateFreshness::TickInterval);
+  m_lastTick = Now;
+  if (Now - m_lastLoad >= LoadInterval)
+    logLoad(Now);
   if (m_state.Freshness.tick(Now))
     m_log.line(LogClass::Fault, "daemon.stalled", {});
   if (m_state.Rollouts.tick(m_state.Replicas, daemons(), Now))
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -64,6 +64,10 @@
 
 void GatewayMetrics::requestStarted() { m_impl->Started.Increment(); }
 
+std::uint64_t GatewayMetrics::requests() const {
+  return static_cast<std::uint64_t>(m_impl->Started.Value());
+}
+
 void GatewayMetrics::requestServed(int Status) {
   m_impl->Served.Add({{"status", std::to_string(Status)}}).Increment();
 }
