Close the callers' connections that rest longest

Change: when callers hold more than half of the descriptors, connections without a request are closed, those that have rested longest first, twice a second. Test: ClosesTheConnectionsThatRestLongest.

--- a/include/nutmegdrift/net/http_server.h
+++ b/include/nutmegdrift/net/http_server.h
@@ -79,6 +79,9 @@
   void startDraining();
   /// Closes connections without a request under way.
   void closeIdle();
+  /// Closes connections without a request under way, those that have rested
+  /// longest first, until at most Most connections are left.
+  void closeIdleBeyond(std::size_t Most);
   [[nodiscard]] bool draining() const { return m_draining; }
   [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
   [[nodiscard]] std::size_t activeRequests() const { return m_active; }
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -15,6 +15,10 @@
 /// daemon closes resting connections.
 constexpr Duration CloseIdleAfter = std::chrono::milliseconds(2500);
 constexpr Duration SweepInterval = std::chrono::milliseconds(500);
+/// Part of the descriptors that callers' connections may take before those that
+/// rest longest are closed. The rest is for replicas, peers and a burst of new
+/// callers.
+constexpr double CallerPart = 0.5;
 /// Between two log lines of a daemon's load.
 constexpr Duration LoadInterval = std::chrono::seconds(2);
 /// Weight of a live daemon that can't be reached is not known; at least this.
@@ -339,6 +343,8 @@
     if (!Gone.empty())
       replicasChanged();
     m_pool.sweep(m_state.Replicas);
+    m_front.closeIdleBeyond(static_cast<std::size_t>(
+        CallerPart * static_cast<double>(m_settings.Descriptors)));
   }
   if (m_state.Stopping)
     checkStopped();
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -1,6 +1,7 @@
 // Connections of callers.
 #include "nutmegdrift/net/http_server.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace nutmegdrift::net {
@@ -11,7 +12,6 @@
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
 /// Time for a caller to read an answer that ended its connection early.
 constexpr Duration LingerTime = std::chrono::seconds(1);
-/// Pause after accept failed, usually for want of descriptors.
 
 } // namespace
 
@@ -75,6 +75,7 @@
   }
 
   [[nodiscard]] bool idle() const { return !m_exchange && !m_started; }
+  [[nodiscard]] TimePoint idleSince() const { return m_idleSince; }
   [[nodiscard]] bool closeAfterAnswer() const {
     return m_server.m_draining || !m_keepAlive;
   }
@@ -113,6 +114,7 @@
   }
 
   void waitIdle() {
+    m_idleSince = m_server.m_clock.now();
     m_timer.callAfter(m_server.m_options.IdleTimeout, [this] { drop(); });
   }
 
@@ -203,6 +205,7 @@
   bool m_continued = false;
   bool m_keepAlive = true;
   bool m_lingering = false;
+  TimePoint m_idleSince{}; ///< Of the last answer, or of its start.
 };
 
 void ServerExchange::answer(int Status, HeaderList Headers,
@@ -299,4 +302,23 @@
       Connection->drop();
 }
 
+void HttpServer::closeIdleBeyond(std::size_t Most) {
+  if (m_connections.size() <= Most)
+    return;
+  std::vector<std::shared_ptr<ServerConnection>> Resting;
+  for (const auto &Connection : m_connections)
+    if (Connection->idle())
+      Resting.push_back(Connection);
+  const std::size_t Beyond =
+      std::min(m_connections.size() - Most, Resting.size());
+  std::partial_sort(Resting.begin(),
+                    Resting.begin() + static_cast<std::ptrdiff_t>(Beyond),
+                    Resting.end(), [](const auto &A, const auto &B) {
+                      return A->idleSince() < B->idleSince();
+                    });
+  Resting.resize(Beyond);
+  for (const auto &Connection : Resting)
+    Connection->drop();
+}
+
 } // namespace nutmegdrift::net
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -320,6 +320,39 @@
   EXPECT_EQ(Got.find("0\r\n\r\n"), std::string::npos);
 }
 
+// Callers of a busy VM left thousands of connections resting until it had no
+// descriptors for new ones.
+TEST_F(ServerFixture, ClosesTheConnectionsThatRestLongest) {
+  Answer = [](ServerExchange &Each) { Each.answer(200, {}, "body"); };
+  const auto RunUntil = [this](const std::function<bool()> &Condition) {
+    const auto End = std::chrono::steady_clock::now() + 5s;
+    while (!Condition() && std::chrono::steady_clock::now() < End)
+      Loop.run_one_for(50ms);
+    return Condition();
+  };
+  // The fixture's own caller has rested longest.
+  ASSERT_TRUE(RunUntil([this] { return Server.connections() == 1; }));
+  std::vector<std::shared_ptr<ClientConnection>> Callers;
+  for (int I = 0; I < 3; ++I) {
+    bool Done = false;
+    Callers.push_back(std::make_shared<ClientConnection>(
+        Loop, Clk, HostPort{.Host = "127.0.0.1", .Port = Server.port()}));
+    Callers.back()->send(serialise({.Method = "GET",
+                                    .Target = "/",
+                                    .Headers = {{"Host", "h"}},
+                                    .Body = {}}),
+                         1s, {.OnEnd = [&Done] { Done = true; }});
+    ASSERT_TRUE(RunUntil([&] { return Done; }));
+  }
+  Server.closeIdleBeyond(4);
+  EXPECT_EQ(Server.connections(), 4U);
+  Server.closeIdleBeyond(2);
+  EXPECT_EQ(Server.connections(), 2U);
+  EXPECT_TRUE(
+      RunUntil([&] { return Caller.Ended && !Callers[0]->connected(); }));
+  EXPECT_TRUE(Callers[1]->connected() && Callers[2]->connected());
+}
+
 TEST_F(ServerFixture, SeesThatTheCallerLeft) {
   bool Gone = false;
   Answer = [&](ServerExchange &Each) {
