Add a fault soak of real daemons

Change: nutmegsoak starts nutmegd-platform processes on loopback addresses of their own, leads callers, store and replicas through links that delay, cut and reset, and checks eleven promises from what callers and replicas see. Ruled out while it was built: daemons that miss a reset. Child processes get no sockets now. Tests: soak_parts guards the ledger (each promise broken once) and the links; StartedProcessesDontKeepConnectionsOpen failed before. The stand-in of the store can forget its history; sample documents in the platform's spelling are shared by the soak's parts.

--- /dev/null
+++ b/soak/fault_injector.h
@@ -0,0 +1,76 @@
+// Random faults from outside the processes, in a sequence that the seed gives.
+#ifndef NUTMEGDRIFT_SOAK_FAULT_INJECTOR_H
+#define NUTMEGDRIFT_SOAK_FAULT_INJECTOR_H
+
+#include "fleet.h"
+
+namespace nutmegdrift::soak {
+
+/// Starts faults of random kinds at random moments; they overlap, and some come
+/// in series. Everything ends with settle().
+class FaultInjector {
+public:
+  FaultInjector(Fleet &Of, std::uint64_t Seed);
+
+  void start();
+  /// Starts no more faults, ends all and lets every process run again.
+  void settle();
+  [[nodiscard]] std::size_t started() const { return m_started; }
+
+private:
+  using Fault = void (FaultInjector::*)();
+  struct Kind {
+    const char *Name;
+    Fault Run;
+  };
+  static const std::vector<Kind> &kinds();
+
+  void next();
+  void later(Duration Delay, std::function<void()> What);
+  [[nodiscard]] Duration between(Duration Least, Duration Most);
+  [[nodiscard]] DaemonProcess &daemon();
+  [[nodiscard]] ReplicaStandIn &replica();
+  /// Shows a random fault on a link; Names are disturbed meanwhile.
+  void disturbLink(FaultyLink &Link, const std::vector<std::string> &Names);
+  void killAndStart(DaemonProcess &Which);
+  void replaceReplica(ReplicaStandIn &Which);
+
+  void killDaemon();
+  void killAgainAndAgain();
+  void killMost();
+  void terminateDaemon();
+  void terminateInTurn();
+  void pauseDaemon();
+  void reloadDaemon();
+  void disturbCallers();
+  void resetCallers();
+  void disturbStoreLink();
+  void resetStoreLink();
+  void disturbReplicaLink();
+  void resetReplicaLink();
+  void storeDown();
+  void storeForgetsHistory();
+  void crashReplica();
+  void drainReplica();
+  void replicaFails();
+  void replicaHangs();
+  void replicaLosesAnswers();
+  void addRoute();
+  void removeRoute();
+  void replaceKey();
+
+  Fleet &m_fleet;
+  /// Its own source, so that a seed gives the same faults whatever callers do.
+  Random m_random;
+  net::Timer m_timer;
+  std::map<std::uint64_t, std::unique_ptr<net::Timer>> m_pending;
+  /// Undo of faults that are still there, by number.
+  std::map<std::uint64_t, std::function<void()>> m_undo;
+  std::uint64_t m_next = 0;
+  std::size_t m_started = 0;
+  bool m_settled = false;
+};
+
+} // namespace nutmegdrift::soak
+
+#endif
--- /dev/null
+++ b/soak/operator.cpp
@@ -0,0 +1,107 @@
+// Changes of the desired state.
+#include "operator.h"
+
+#include "sample_deployment.h"
+
+namespace nutmegdrift::soak {
+
+namespace {
+
+namespace names = platform::names;
+using routing::RequestKind;
+
+constexpr unsigned Workspaces = 4;
+constexpr std::uint64_t FirstVersion = 3;
+/// Versions grow in uneven steps.
+constexpr std::uint64_t VersionStep = 2;
+constexpr routing::Milliseconds Timeout{4000};
+
+routing::Route route(const std::string &Name, RequestKind Kind,
+                     const char *Service, unsigned MaxReplicas) {
+  return {.Name = Name,
+          .Host = platform::SampleHost,
+          .PathPrefix = "/" + Name + "/",
+          .Kind = Kind,
+          .Timeout = Timeout,
+          .FirstByteTarget = routing::Milliseconds(400),
+          .Shares = {{.Service = Service}},
+          .MaxReplicas = MaxReplicas};
+}
+
+} // namespace
+
+Operator::Operator(platform::FakeStore &Store, Ledger &Judge)
+    : m_store(Store), m_judge(Judge) {
+  m_state.Version = FirstVersion;
+  m_state.Routes = {
+      route("lookup", RequestKind::Idempotent, PlainService, 3),
+      route("charge", RequestKind::RunOnce, PlainService, 2),
+      route("report", RequestKind::Stream, ModelService, 2),
+      route("chat", RequestKind::ResumableStream, ModelService, 3)};
+  m_fixedRoutes = m_state.Routes.size();
+  m_state.Services = {
+      {.Name = PlainService, .ConnectionLimit = 200},
+      {.Name = ModelService,
+       .ConnectionLimit = 200,
+       .Engine = routing::EngineTraits{.Slots = 8, .KvTokens = 400000}}};
+  for (unsigned I = 0; I < Workspaces; ++I) {
+    const std::string Name = "w" + std::to_string(I);
+    m_state.Workspaces.push_back({.Name = Name, .Keys = {"key-" + Name}});
+    m_judge.Workspaces["key-" + Name] = Name;
+  }
+  write();
+}
+
+void Operator::write() {
+  m_store.put(names::StateKind, names::StateName,
+              platform::sampleState(m_state));
+  m_state.Version += VersionStep;
+}
+
+void Operator::addRoute() {
+  const std::string Name = "extra" + std::to_string(++m_names);
+  m_state.Routes.push_back(route(Name, RequestKind::RunOnce, PlainService, 2));
+  write();
+  m_judge.routeAdded(Name);
+}
+
+void Operator::removeRoute() {
+  if (m_state.Routes.size() <= m_fixedRoutes)
+    return;
+  const auto Oldest =
+      m_state.Routes.begin() + static_cast<std::ptrdiff_t>(m_fixedRoutes);
+  const std::string Name = Oldest->Name;
+  m_state.Routes.erase(Oldest);
+  write();
+  m_judge.routeRemoved(Name);
+}
+
+void Operator::replaceKey(Random &Rng) {
+  routing::Workspace &Owner =
+      m_state.Workspaces[Rng() % m_state.Workspaces.size()];
+  const std::string Old = Owner.Keys.front();
+  const std::string New = "key-" + std::to_string(++m_names) + "-" + Owner.Name;
+  m_judge.Workspaces[New] = Owner.Name;
+  Owner.Keys = {New};
+  write();
+  m_judge.keyAdded(New);
+  m_judge.keyRemoved(Old);
+}
+
+void Operator::registerReplica(const ReplicaStandIn &Which) {
+  m_store.put(names::ReplicaKind, Which.id(),
+              platform::sampleReplica(Which.record(false)));
+}
+
+void Operator::announceDraining(const ReplicaStandIn &Which) {
+  m_store.put(names::ReplicaKind, Which.id(),
+              platform::sampleReplica(Which.record(true)));
+  m_judge.replicaLeft(Which.id());
+}
+
+void Operator::unregisterReplica(const std::string &Id) {
+  m_store.remove(names::ReplicaKind, Id);
+  m_judge.replicaLeft(Id);
+}
+
+} // namespace nutmegdrift::soak
--- /dev/null
+++ b/soak/soak_test.cpp
@@ -0,0 +1,302 @@
+// Guards the soak's own parts: a judge that overlooks a broken promise, and a
+// link that shows no fault, would let every run pass.
+#include "faulty_link.h"
+#include "ledger.h"
+
+#include "nutmegdrift/net/client_connection.h"
+#include "nutmegdrift/net/http_server.h"
+
+#include "support/child_process.h"
+
+#include <gtest/gtest.h>
+
+namespace nutmegdrift::soak {
+namespace {
+
+using namespace std::chrono_literals;
+using routing::RequestKind;
+
+struct LedgerTest : ::testing::Test {
+  void SetUp() override { Judge.Workspaces["k"] = "w"; }
+  void send(const std::string &Id, RequestKind Kind, const char *Route = "r") {
+    Judge.sent({.Id = Id,
+                .Daemon = "d",
+                .Key = "k",
+                .Route = Route,
+                .Kind = Kind,
+                .At = Clk.now(),
+                .Deadline = Clk.now() + 1s});
+  }
+  [[nodiscard]] bool violated(const std::string &Promise) const {
+    return Judge.violations().size() == 1 &&
+           Judge.violations().front().find(" promise=" + Promise + " ") !=
+               std::string::npos;
+  }
+
+  ManualClock Clk;
+  Disturbances Quiet;
+  Ledger Judge{Clk, Quiet, {}};
+};
+
+TEST_F(LedgerTest, SeesASecondRun) {
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "w");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Judge.ran("a", "y", "w");
+  EXPECT_TRUE(violated("run-once"));
+}
+
+TEST_F(LedgerTest, AllowsARepeatOfAnIdempotentRequest) {
+  send("a", RequestKind::Idempotent);
+  Judge.ran("a", "x", "w");
+  Judge.ran("a", "y", "w");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+}
+
+TEST_F(LedgerTest, SeesARefusalOfARequestThatRan) {
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "w");
+  Judge.ended("a", Ending::NotRun, "");
+  EXPECT_TRUE(violated("not-run"));
+}
+
+TEST_F(LedgerTest, SeesARunAfterARefusal) {
+  send("a", RequestKind::Idempotent);
+  Judge.ended("a", Ending::NotRun, "");
+  Judge.ran("a", "x", "w");
+  EXPECT_TRUE(violated("not-run"));
+}
+
+TEST_F(LedgerTest, SeesARemovedKeyWhateverIsDisturbed) {
+  Quiet.begin("d", Clk.now());
+  Judge.keyRemoved("k");
+  Clk.advance(4900ms);
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "w");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Clk.advance(200ms);
+  send("b", RequestKind::RunOnce);
+  Judge.ran("b", "x", "w");
+  EXPECT_TRUE(violated("key-removed"));
+}
+
+TEST_F(LedgerTest, SeesARequestAtAReplicaThatLeft) {
+  Judge.replicaLeft("x");
+  Clk.advance(1900ms);
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "w");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Clk.advance(200ms);
+  send("b", RequestKind::RunOnce);
+  Judge.ran("b", "x", "w");
+  EXPECT_TRUE(violated("replica-left"));
+}
+
+// A daemon that was disturbed has time to learn what it missed, but not for
+// ever.
+TEST_F(LedgerTest, ExcusesDisturbedDaemonsForAWhile) {
+  Quiet.begin("d", Clk.now());
+  Judge.routeRemoved("r");
+  Clk.advance(3s);
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "w");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Quiet.end("d", Clk.now());
+  Clk.advance(1min);
+  Judge.routeRemoved("r");
+  Clk.advance(3s);
+  send("b", RequestKind::RunOnce);
+  Judge.ran("b", "x", "w");
+  EXPECT_TRUE(violated("route-removed"));
+}
+
+TEST_F(LedgerTest, SeesADeniedRequestOnAnAddedRoute) {
+  Judge.routeAdded("r");
+  Clk.advance(1900ms);
+  send("a", RequestKind::RunOnce);
+  Judge.ended("a", Ending::Denied, "");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Clk.advance(200ms);
+  send("b", RequestKind::RunOnce);
+  Judge.ended("b", Ending::Denied, "");
+  EXPECT_TRUE(violated("allowed"));
+}
+
+TEST_F(LedgerTest, SeesADeniedRequestWithAnAddedKey) {
+  Judge.keyAdded("k");
+  Clk.advance(1900ms);
+  send("a", RequestKind::RunOnce);
+  Judge.ended("a", Ending::Denied, "");
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Clk.advance(200ms);
+  send("b", RequestKind::RunOnce);
+  Judge.ended("b", Ending::Denied, "");
+  EXPECT_TRUE(violated("allowed"));
+}
+
+TEST_F(LedgerTest, SeesARequestWithoutAnAnswer) {
+  send("a", RequestKind::RunOnce);
+  Clk.advance(1400ms);
+  Judge.sweep();
+  EXPECT_EQ(Judge.violationCount(), 0U);
+  Clk.advance(200ms);
+  Judge.sweep();
+  EXPECT_TRUE(violated("answered-by-deadline"));
+}
+
+TEST_F(LedgerTest, SeesARequestThatAStopCut) {
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "w");
+  Judge.stopping("d");
+  Clk.advance(100ms);
+  Judge.ended("a", Ending::Cut, "");
+  EXPECT_TRUE(violated("stop-loses-nothing"));
+}
+
+TEST_F(LedgerTest, SeesAnotherWorkspace) {
+  send("a", RequestKind::RunOnce);
+  Judge.ran("a", "x", "other");
+  EXPECT_TRUE(violated("workspace"));
+}
+
+struct LinkTest : ::testing::Test {
+  LinkTest() {
+    EXPECT_TRUE(Server.listen({.Host = "127.0.0.1", .Port = 0}));
+    Link.setTarget({.Host = "127.0.0.1", .Port = Server.port()});
+    EXPECT_TRUE(Link.start("127.0.0.1"));
+  }
+  void send() {
+    Outcome.clear();
+    Caller = std::make_shared<net::ClientConnection>(Loop, Clk, Link.address());
+    Caller->send(
+        net::serialise({.Method = "GET",
+                        .Target = "/",
+                        .Headers = {{"Host", "h"}},
+                        .Body = {}}),
+        1s,
+        {.OnEnd = [this] { Outcome = "answered"; },
+         .OnFailure =
+             [this](net::ClientFailure Why) { Outcome = net::toString(Why); }});
+  }
+  std::string wait(Duration Time) {
+    const auto End = std::chrono::steady_clock::now() + Time;
+    while (Outcome.empty() && std::chrono::steady_clock::now() < End)
+      Loop.run_one_for(5ms);
+    return Outcome;
+  }
+
+  net::EventLoop Loop{1};
+  SystemClock Clk;
+  int Requests = 0;
+  net::HttpServer Server{
+      Loop, Clk, [this](const std::shared_ptr<net::ServerExchange> &Each) {
+        ++Requests;
+        Each->answer(200, {}, "body");
+      }};
+  FaultyLink Link{Loop, Clk, {}};
+  std::shared_ptr<net::ClientConnection> Caller;
+  std::string Outcome;
+};
+
+TEST_F(LinkTest, CarriesARequestAndItsAnswer) {
+  send();
+  EXPECT_EQ(wait(10s), "answered");
+}
+
+TEST_F(LinkTest, HoldsAnAnswerBackUntilTheCutEnds) {
+  Link.setFault({.CutBack = true});
+  send();
+  EXPECT_EQ(wait(200ms), "");
+  EXPECT_EQ(Requests, 1);
+  Link.setFault({});
+  EXPECT_EQ(wait(10s), "answered");
+}
+
+TEST_F(LinkTest, HoldsARequestBackUntilTheCutEnds) {
+  Link.setFault({.CutThere = true});
+  send();
+  EXPECT_EQ(wait(200ms), "");
+  EXPECT_EQ(Requests, 0);
+  Link.setFault({});
+  EXPECT_EQ(wait(10s), "answered");
+}
+
+TEST_F(LinkTest, ResetsConnections) {
+  Link.setFault({.CutBack = true});
+  send();
+  EXPECT_EQ(wait(100ms), "");
+  Link.resetAll();
+  EXPECT_EQ(wait(10s), "reset");
+}
+
+// A reset in the middle of answers, at any moment, must reach both ends.
+TEST_F(LinkTest, ResetsConnectionsWhileBytesFlow) {
+  constexpr int Rounds = 20;
+  constexpr int Callers = 50;
+  int Left = 0;
+  const auto Write = [this](const std::shared_ptr<net::ServerExchange> &To,
+                            const std::shared_ptr<net::Timer> &Next,
+                            const auto &Again) -> void {
+    if (!To->open())
+      return;
+    To->write("event\n");
+    Next->callAfter(1ms, [To, Next, Again] { Again(To, Next, Again); });
+  };
+  net::HttpServer Streams(
+      Loop, Clk, [&](const std::shared_ptr<net::ServerExchange> &Each) {
+        Each->OnCallerGone = [&Left] { ++Left; };
+        Each->begin(200, {}, std::nullopt);
+        Write(Each, std::make_shared<net::Timer>(Loop), Write);
+      });
+  ASSERT_TRUE(Streams.listen({.Host = "127.0.0.1", .Port = 0}));
+  Link.setTarget({.Host = "127.0.0.1", .Port = Streams.port()});
+  for (int I = 0; I < Rounds; ++I) {
+    int Reset = 0;
+    std::vector<std::shared_ptr<net::ClientConnection>> Open;
+    for (int J = 0; J < Callers; ++J) {
+      Open.push_back(
+          std::make_shared<net::ClientConnection>(Loop, Clk, Link.address()));
+      Open.back()->send(
+          net::serialise({.Method = "GET",
+                          .Target = "/",
+                          .Headers = {{"Host", "h"}},
+                          .Body = {}}),
+          1s, {.OnFailure = [&Reset](net::ClientFailure) { ++Reset; }});
+    }
+    const auto ResetAt = std::chrono::steady_clock::now() + 20ms + I * 50us;
+    while (std::chrono::steady_clock::now() < ResetAt)
+      Loop.run_one_for(1ms);
+    Link.resetAll();
+    const auto End = std::chrono::steady_clock::now() + 2s;
+    while (Reset < Callers && std::chrono::steady_clock::now() < End)
+      Loop.run_one_for(5ms);
+    ASSERT_EQ(Reset, Callers) << "round " << I;
+  }
+  const auto End = std::chrono::steady_clock::now() + 5s;
+  while (Left < Rounds * Callers && std::chrono::steady_clock::now() < End)
+    Loop.run_one_for(5ms);
+  EXPECT_EQ(Left, Rounds * Callers);
+}
+
+// Sockets that a started daemon inherited stayed open after the link had closed
+// them, so callers waited for an answer that had been broken off.
+TEST_F(LinkTest, StartedProcessesDontKeepConnectionsOpen) {
+  Link.setFault({.CutBack = true});
+  send();
+  EXPECT_EQ(wait(100ms), "");
+  const nutmegdrift::testing::ChildProcess Child("/bin/sleep", {"20"},
+                                                 "/dev/null");
+  Link.resetAll();
+  EXPECT_EQ(wait(5s), "reset");
+}
+
+TEST_F(LinkTest, DelaysBothWays) {
+  Link.setFault({.Delay = 100ms});
+  const TimePoint Began = Clk.now();
+  send();
+  EXPECT_EQ(wait(10s), "answered");
+  EXPECT_GE(Clk.now() - Began, 200ms);
+}
+
+} // namespace
+} // namespace nutmegdrift::soak
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -30,7 +30,7 @@
 
 ChildProcess::ChildProcess(const std::string &Program,
                            const std::vector<std::string> &Args,
-                           const std::string &LogFile) {
+                           const std::string &LogFile, ChildOutput Output) {
   std::array<int, 2> Pipe{};
   if (::pipe2(Pipe.data(), O_CLOEXEC) != 0)
     throw std::runtime_error("pipe failed");
@@ -40,6 +40,10 @@
   constexpr mode_t Mode = 0644;
   ::posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO, LogFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, Mode);
+  if (Output == ChildOutput::ToLog)
+    ::posix_spawn_file_actions_adddup2(&Actions, STDERR_FILENO, STDOUT_FILENO);
+  // Sockets of this process must not live on in the program.
+  ::posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   std::vector<char *> Argv{const_cast<char *>(Program.c_str())};
   for (const auto &Arg : Args)
     Argv.push_back(const_cast<char *>(Arg.c_str()));
@@ -94,16 +98,21 @@
   const auto Limit =
       std::chrono::steady_clock::now() + std::chrono::seconds(SecondsMax);
   while (m_pid > 0 && std::chrono::steady_clock::now() < Limit) {
-    int Status = 0;
-    if (::waitpid(m_pid, &Status, WNOHANG) == m_pid) {
-      m_pid = -1;
-      return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
-    }
+    if (const auto Status = tryWait())
+      return Status;
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   return std::nullopt;
 }
 
+std::optional<int> ChildProcess::tryWait() {
+  int Status = 0;
+  if (m_pid <= 0 || ::waitpid(m_pid, &Status, WNOHANG) != m_pid)
+    return std::nullopt;
+  m_pid = -1;
+  return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+}
+
 namespace {
 
 /// Ports below the range from which the kernel gives ports to outgoing
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -11,12 +11,19 @@
 
 namespace nutmegdrift::testing {
 
+/// Where a program's standard output goes.
+enum class ChildOutput {
+  ToReader, ///< Read by listeningPort().
+  ToLog,    ///< Into the log file, beside its standard error.
+};
+
 /// A running program; killed when destroyed. Its standard error goes to a
-/// file, its standard output is read for the line that names the port.
+/// file.
 class ChildProcess {
 public:
   ChildProcess(const std::string &Program, const std::vector<std::string> &Args,
-               const std::string &LogFile);
+               const std::string &LogFile,
+               ChildOutput Output = ChildOutput::ToReader);
   ~ChildProcess();
   ChildProcess(ChildProcess &&Other) noexcept;
   ChildProcess &operator=(ChildProcess &&) = delete;
@@ -29,6 +36,8 @@
   void signal(int Number) const;
   /// Exit status, or minus the signal that ended it; nothing after SecondsMax.
   std::optional<int> wait(int SecondsMax);
+  /// The same without waiting.
+  std::optional<int> tryWait();
   [[nodiscard]] pid_t pid() const { return m_pid; }
 
 private:
