--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -40,7 +40,7 @@
 
 TEST(TcpListener, AcceptsManyConnectionsInATurn) {
   // With one in each turn, a daemon whose turns are long with hundreds of
-  // streams accepted 50 a second while 300 came, and callers got no connection.
+  // streams accepted fewer than came, and callers got no connection.
   constexpr int Callers = 100;
   EventLoop Loop(1);
   std::vector<TcpSocket> Taken;
