Name the soak's parts by the usual terms

Read as a newcomer: Ledger, Judge, Quiet and Owner do not say what they are. They are PromiseChecker, Checker, Disturbed and Operations now.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -99,7 +99,7 @@
   if (Now >= m_namedUntil)
     askDirectory();
   DaemonProcess &At = chooseDaemon();
-  const routing::DesiredState &State = m_fleet.Owner->state();
+  const routing::DesiredState &State = m_fleet.Operations->state();
   const routing::Route &Route =
       State.Routes[m_fleet.Rng() % State.Routes.size()];
   const routing::Workspace &Owner =
@@ -131,7 +131,7 @@
   m_connection = Kept;
   m_head = {};
   m_body.clear();
-  m_fleet.Judge.sent(m_request);
+  m_fleet.Checker.sent(m_request);
   m_connection->send(
       net::serialise(platform::sampleRequest(Sample)), ConnectTimeout,
       {.OnHead = [this](net::HttpAnswerHead Head) { m_head = std::move(Head); },
@@ -141,7 +141,7 @@
            [this](net::ClientFailure Why) {
              // What came before the cut must be the replica's all the same.
              std::string Detail = "cause=" + std::string(net::toString(Why));
-             const bool Wrong = judge(Detail) == Ending::Broken &&
+             const bool Wrong = endingOf(Detail) == Ending::Broken &&
                                 Detail.find("short") == std::string::npos;
              finish(Wrong ? Ending::Broken : Ending::Cut, Detail);
            }});
@@ -152,7 +152,7 @@
   m_patience.callAfter(Patience, [this] { finish(Ending::Left, ""); });
 }
 
-Ending Caller::judge(std::string &Detail) const {
+Ending Caller::endingOf(std::string &Detail) const {
   Detail += " status=" + std::to_string(m_head.Status);
   if (m_head.Status >= FirstSuccess && m_head.Status < FirstRedirect) {
     std::string Wanted;
@@ -184,12 +184,12 @@
 
 void Caller::onEnd() {
   std::string Detail;
-  finish(judge(Detail), Detail);
+  finish(endingOf(Detail), Detail);
 }
 
 void Caller::finish(Ending How, const std::string &Detail) {
   m_patience.cancel();
-  m_fleet.Judge.ended(m_request.Id, How, Detail);
+  m_fleet.Checker.ended(m_request.Id, How, Detail);
   if (m_connection && m_connection->busy())
     m_connection->close();
   m_connection.reset();
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -25,7 +25,7 @@
   [[nodiscard]] DaemonProcess &chooseDaemon();
   void onEnd();
   void finish(Ending How, const std::string &Detail);
-  [[nodiscard]] Ending judge(std::string &Detail) const;
+  [[nodiscard]] Ending endingOf(std::string &Detail) const;
 
   Fleet &m_fleet;
   const std::string m_name;
--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -18,15 +18,16 @@
 } // namespace
 
 DaemonProcess::DaemonProcess(net::EventLoop &Loop, const Clock &Clk,
-                             Disturbances &Quiet, Ledger &Judge, Options Traits)
-    : m_clock(Clk), m_quiet(Quiet), m_judge(Judge),
+                             Disturbances &Disturbed, PromiseChecker &Checker,
+                             Options Traits)
+    : m_clock(Clk), m_disturbed(Disturbed), m_checker(Checker),
       m_options(std::move(Traits)),
       m_callers(Loop, Clk, {.Host = m_options.Host, .Port = FrontPort}),
       m_store(Loop, Clk, m_options.Store), m_graceTimer(Loop) {
   m_callers.start(m_options.Host);
   m_store.start(m_options.Host);
   // Not running counts as a disturbance; start() ends it.
-  m_quiet.begin(name(), m_clock.now());
+  m_disturbed.begin(name(), m_clock.now());
 }
 
 DaemonProcess::~DaemonProcess() = default;
@@ -71,16 +72,16 @@
       m_options.Directory + "/" + name() + ".log",
       nutmegdrift::testing::ChildOutput::ToLog);
   m_paused = m_stopping = false;
-  m_quiet.end(name(), m_clock.now());
+  m_disturbed.end(name(), m_clock.now());
 }
 
 void DaemonProcess::ended() {
   m_process.reset();
   m_graceTimer.cancel();
   if (m_paused)
-    m_quiet.end(name(), m_clock.now());
+    m_disturbed.end(name(), m_clock.now());
   m_paused = m_stopping = false;
-  m_quiet.begin(name(), m_clock.now());
+  m_disturbed.begin(name(), m_clock.now());
 }
 
 void DaemonProcess::kill() {
@@ -92,7 +93,7 @@
   if (!running() || m_stopping)
     return;
   m_stopping = true;
-  m_judge.stopping(name());
+  m_checker.stopping(name());
   m_process->signal(SIGTERM);
   m_graceTimer.callAfter(StopGrace, [this] { kill(); });
 }
@@ -101,7 +102,7 @@
   if (!running() || m_paused)
     return;
   m_paused = true;
-  m_quiet.begin(name(), m_clock.now());
+  m_disturbed.begin(name(), m_clock.now());
   m_process->signal(SIGSTOP);
 }
 
@@ -110,7 +111,7 @@
     return;
   m_paused = false;
   m_process->signal(SIGCONT);
-  m_quiet.end(name(), m_clock.now());
+  m_disturbed.end(name(), m_clock.now());
 }
 
 void DaemonProcess::reload(std::vector<std::string> Seeds) {
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -4,7 +4,7 @@
 #define NUTMEGDRIFT_SOAK_DAEMON_PROCESS_H
 
 #include "faulty_link.h"
-#include "ledger.h"
+#include "promise_checker.h"
 
 #include "support/child_process.h"
 
@@ -24,8 +24,8 @@
     std::string Directory; ///< For settings and logs.
   };
 
-  DaemonProcess(net::EventLoop &Loop, const Clock &Clk, Disturbances &Quiet,
-                Ledger &Judge, Options Traits);
+  DaemonProcess(net::EventLoop &Loop, const Clock &Clk, Disturbances &Disturbed,
+                PromiseChecker &Checker, Options Traits);
   ~DaemonProcess();
 
   void start();
@@ -60,8 +60,8 @@
   void ended();
 
   const Clock &m_clock;
-  Disturbances &m_quiet;
-  Ledger &m_judge;
+  Disturbances &m_disturbed;
+  PromiseChecker &m_checker;
   Options m_options;
   FaultyLink m_callers;
   FaultyLink m_store;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -122,11 +122,11 @@
        .CutThere = Way == 1 || Way == 3,
        .CutBack = Way == 2 || Way == 3});
   for (const std::string &Each : Names)
-    m_fleet.Quiet.begin(Each, m_fleet.Clk.now());
+    m_fleet.Disturbed.begin(Each, m_fleet.Clk.now());
   later(between(ShortFault, LongFault), [this, &Link, Names] {
     Link.setFault({});
     for (const std::string &Each : Names)
-      m_fleet.Quiet.end(Each, m_fleet.Clk.now());
+      m_fleet.Disturbed.end(Each, m_fleet.Clk.now());
   });
 }
 
@@ -194,9 +194,9 @@
 
 void FaultInjector::resetCallers() {
   DaemonProcess &Which = daemon();
-  m_fleet.Quiet.begin(Which.name(), m_fleet.Clk.now());
+  m_fleet.Disturbed.begin(Which.name(), m_fleet.Clk.now());
   Which.callers().resetAll();
-  m_fleet.Quiet.end(Which.name(), m_fleet.Clk.now());
+  m_fleet.Disturbed.end(Which.name(), m_fleet.Clk.now());
 }
 
 void FaultInjector::disturbStoreLink() {
@@ -206,9 +206,9 @@
 
 void FaultInjector::resetStoreLink() {
   DaemonProcess &Which = daemon();
-  m_fleet.Quiet.begin(Which.name(), m_fleet.Clk.now());
+  m_fleet.Disturbed.begin(Which.name(), m_fleet.Clk.now());
   Which.store().resetAll();
-  m_fleet.Quiet.end(Which.name(), m_fleet.Clk.now());
+  m_fleet.Disturbed.end(Which.name(), m_fleet.Clk.now());
 }
 
 void FaultInjector::disturbReplicaLink() {
@@ -218,30 +218,30 @@
 
 void FaultInjector::resetReplicaLink() {
   ReplicaStandIn &Which = replica();
-  m_fleet.Quiet.begin(Which.id(), m_fleet.Clk.now());
+  m_fleet.Disturbed.begin(Which.id(), m_fleet.Clk.now());
   Which.link().resetAll();
-  m_fleet.Quiet.end(Which.id(), m_fleet.Clk.now());
+  m_fleet.Disturbed.end(Which.id(), m_fleet.Clk.now());
 }
 
 void FaultInjector::storeDown() {
-  m_fleet.Quiet.begin(Ledger::Store, m_fleet.Clk.now());
+  m_fleet.Disturbed.begin(PromiseChecker::Store, m_fleet.Clk.now());
   m_fleet.Store.Down = true;
   later(between(ShortFault, LongFault), [this] {
     m_fleet.Store.Down = false;
-    m_fleet.Quiet.end(Ledger::Store, m_fleet.Clk.now());
+    m_fleet.Disturbed.end(PromiseChecker::Store, m_fleet.Clk.now());
   });
 }
 
 void FaultInjector::storeForgetsHistory() {
-  m_fleet.Quiet.begin(Ledger::Store, m_fleet.Clk.now());
+  m_fleet.Disturbed.begin(PromiseChecker::Store, m_fleet.Clk.now());
   m_fleet.Store.forgetHistory();
-  m_fleet.Quiet.end(Ledger::Store, m_fleet.Clk.now());
+  m_fleet.Disturbed.end(PromiseChecker::Store, m_fleet.Clk.now());
 }
 
 void FaultInjector::replaceReplica(ReplicaStandIn &Which) {
   const std::string Old = Which.id();
   Which.start();
-  m_fleet.Owner->registerReplica(Which);
+  m_fleet.Operations->registerReplica(Which);
   m_fleet.note("replica=" + Which.id() + " before=" + Old);
 }
 
@@ -250,11 +250,11 @@
   if (!Which.running())
     return;
   const std::string Old = Which.id();
-  m_fleet.Quiet.begin(Old, m_fleet.Clk.now());
+  m_fleet.Disturbed.begin(Old, m_fleet.Clk.now());
   Which.crash();
   // The entry lapses some time after the replica is gone.
   later(between(ShortFault, seconds(3)), [this, &Which, Old] {
-    m_fleet.Owner->unregisterReplica(Old);
+    m_fleet.Operations->unregisterReplica(Old);
     replaceReplica(Which);
   });
 }
@@ -264,12 +264,12 @@
   if (!Which.running())
     return;
   const std::string Old = Which.id();
-  m_fleet.Owner->announceDraining(Which);
+  m_fleet.Operations->announceDraining(Which);
   later(ReplicaLinger, [this, &Which, Old] {
     if (Which.id() != Old || !Which.running())
       return;
-    m_fleet.Quiet.begin(Old, m_fleet.Clk.now());
-    m_fleet.Owner->unregisterReplica(Old);
+    m_fleet.Disturbed.begin(Old, m_fleet.Clk.now());
+    m_fleet.Operations->unregisterReplica(Old);
     replaceReplica(Which);
   });
 }
@@ -293,8 +293,8 @@
         [&Which] { Which.Faults.LosesAnswer = 0; });
 }
 
-void FaultInjector::addRoute() { m_fleet.Owner->addRoute(); }
-void FaultInjector::removeRoute() { m_fleet.Owner->removeRoute(); }
-void FaultInjector::replaceKey() { m_fleet.Owner->replaceKey(m_random); }
+void FaultInjector::addRoute() { m_fleet.Operations->addRoute(); }
+void FaultInjector::removeRoute() { m_fleet.Operations->removeRoute(); }
+void FaultInjector::replaceKey() { m_fleet.Operations->replaceKey(m_random); }
 
 } // namespace nutmegdrift::soak
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -20,14 +20,14 @@
 } // namespace
 
 Fleet::Fleet(const FleetOptions &Options)
-    : Rng(Options.Seed), Judge(Clk, Quiet, {}), Store(Loop, Clk) {
+    : Rng(Options.Seed), Checker(Clk, Disturbed, {}), Store(Loop, Clk) {
   Store.start(host(1));
-  Owner = std::make_unique<Operator>(Store, Judge);
+  Operations = std::make_unique<Operator>(Store, Checker);
   const unsigned Count = Options.PlainReplicas + Options.Engines;
   for (unsigned I = 0; I < Count; ++I) {
     const bool Engine = I >= Options.PlainReplicas;
     Replicas.push_back(std::make_unique<ReplicaStandIn>(
-        Loop, Clk, Rng, Judge, host(2),
+        Loop, Clk, Rng, Checker, host(2),
         ReplicaStandIn::Options{
             .Name = (Engine ? "e" : "p") + std::to_string(I),
             .Service = Engine ? Operator::ModelService : Operator::PlainService,
@@ -39,7 +39,7 @@
     Seeds.push_back(host(FirstDaemonHost + I));
   for (unsigned I = 0; I < Options.Daemons; ++I)
     Daemons.push_back(std::make_unique<DaemonProcess>(
-        Loop, Clk, Quiet, Judge,
+        Loop, Clk, Disturbed, Checker,
         DaemonProcess::Options{.Name = "d" + std::to_string(I),
                                .Host = host(FirstDaemonHost + I),
                                .Zone = zone(I),
@@ -62,14 +62,14 @@
 void Fleet::start() {
   for (const auto &Each : Replicas) {
     Each->start();
-    Owner->registerReplica(*Each);
+    Operations->registerReplica(*Each);
   }
   for (const auto &Each : Daemons)
     Each->start();
 }
 
 void Fleet::note(const std::string &Text) {
-  std::cout << Judge.timeText() << " " << Text << std::endl;
+  std::cout << Checker.timeText() << " " << Text << std::endl;
 }
 
 } // namespace nutmegdrift::soak
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -30,10 +30,10 @@
   net::EventLoop Loop{1};
   SystemClock Clk;
   Random Rng;
-  Disturbances Quiet;
-  Ledger Judge;
+  Disturbances Disturbed;
+  PromiseChecker Checker;
   platform::FakeStore Store;
-  std::unique_ptr<Operator> Owner;
+  std::unique_ptr<Operator> Operations;
   std::vector<std::unique_ptr<ReplicaStandIn>> Replicas;
   std::vector<std::unique_ptr<DaemonProcess>> Daemons;
 };
--- a/soak/nutmegsoak.cpp
+++ b/soak/nutmegsoak.cpp
@@ -66,9 +66,9 @@
     });
   }
   void beginFinal() {
-    std::ignore = m_fleet.Judge.takeEndings();
+    std::ignore = m_fleet.Checker.takeEndings();
     m_phase.callAfter(Final, [this] {
-      m_final = m_fleet.Judge.takeEndings();
+      m_final = m_fleet.Checker.takeEndings();
       m_done = true;
       m_fleet.Loop.stop();
     });
@@ -76,19 +76,19 @@
   void poll() {
     const TimePoint Now = m_fleet.Clk.now();
     if (m_polled != TimePoint{} && Now - m_polled > StallGap) {
-      m_fleet.Quiet.begin(Ledger::Store, m_polled);
-      m_fleet.Quiet.end(Ledger::Store, Now);
+      m_fleet.Disturbed.begin(PromiseChecker::Store, m_polled);
+      m_fleet.Disturbed.end(PromiseChecker::Store, Now);
       m_fleet.note("soak=stalled");
     }
     m_polled = Now;
     for (const auto &Each : m_fleet.Daemons)
       Each->poll();
-    m_fleet.Judge.sweep();
+    m_fleet.Checker.sweep();
     m_poll.callAfter(PollInterval, [this] { poll(); });
   }
   int report() {
-    bool Bad = m_fleet.Judge.violationCount() > 0 || !m_done;
-    for (const std::string &Each : m_fleet.Judge.violations())
+    bool Bad = m_fleet.Checker.violationCount() > 0 || !m_done;
+    for (const std::string &Each : m_fleet.Checker.violations())
       std::cout << "violation " << Each << "\n";
     for (const auto &Each : m_fleet.Daemons)
       if (Each->unexplainedEnds() > 0) {
@@ -107,9 +107,9 @@
                 << " of=" << All << "\n";
     }
     std::cout << "result=" << (Bad ? "failed" : "passed")
-              << " requests=" << m_fleet.Judge.sentCount()
+              << " requests=" << m_fleet.Checker.sentCount()
               << " faults=" << m_faults.started()
-              << " violations=" << m_fleet.Judge.violationCount()
+              << " violations=" << m_fleet.Checker.violationCount()
               << " served_at_end=" << Served << "/" << All << "\n";
     return Bad ? EXIT_FAILURE : EXIT_SUCCESS;
   }
--- a/soak/operator.cpp
+++ b/soak/operator.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-Operator::Operator(platform::FakeStore &Store, Ledger &Judge)
-    : m_store(Store), m_judge(Judge) {
+Operator::Operator(platform::FakeStore &Store, PromiseChecker &Checker)
+    : m_store(Store), m_checker(Checker) {
   m_state.Version = FirstVersion;
   m_state.Routes = {
       route("lookup", RequestKind::Idempotent, PlainService, 3),
@@ -47,7 +47,7 @@
   for (unsigned I = 0; I < Workspaces; ++I) {
     const std::string Name = "w" + std::to_string(I);
     m_state.Workspaces.push_back({.Name = Name, .Keys = {"key-" + Name}});
-    m_judge.Workspaces["key-" + Name] = Name;
+    m_checker.Workspaces["key-" + Name] = Name;
   }
   write();
 }
@@ -62,7 +62,7 @@
   const std::string Name = "extra" + std::to_string(++m_names);
   m_state.Routes.push_back(route(Name, RequestKind::RunOnce, PlainService, 2));
   write();
-  m_judge.routeAdded(Name);
+  m_checker.routeAdded(Name);
 }
 
 void Operator::removeRoute() {
@@ -73,7 +73,7 @@
   const std::string Name = Oldest->Name;
   m_state.Routes.erase(Oldest);
   write();
-  m_judge.routeRemoved(Name);
+  m_checker.routeRemoved(Name);
 }
 
 void Operator::replaceKey(Random &Rng) {
@@ -81,11 +81,11 @@
       m_state.Workspaces[Rng() % m_state.Workspaces.size()];
   const std::string Old = Owner.Keys.front();
   const std::string New = "key-" + std::to_string(++m_names) + "-" + Owner.Name;
-  m_judge.Workspaces[New] = Owner.Name;
+  m_checker.Workspaces[New] = Owner.Name;
   Owner.Keys = {New};
   write();
-  m_judge.keyAdded(New);
-  m_judge.keyRemoved(Old);
+  m_checker.keyAdded(New);
+  m_checker.keyRemoved(Old);
 }
 
 void Operator::registerReplica(const ReplicaStandIn &Which) {
@@ -96,12 +96,12 @@
 void Operator::announceDraining(const ReplicaStandIn &Which) {
   m_store.put(names::ReplicaKind, Which.id(),
               platform::sampleReplica(Which.record(true)));
-  m_judge.replicaLeft(Which.id());
+  m_checker.replicaLeft(Which.id());
 }
 
 void Operator::unregisterReplica(const std::string &Id) {
   m_store.remove(names::ReplicaKind, Id);
-  m_judge.replicaLeft(Id);
+  m_checker.replicaLeft(Id);
 }
 
 } // namespace nutmegdrift::soak
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -1,5 +1,5 @@
 // The soak's operator: writes desired states and the replicas' entries to the
-// store, and tells the ledger what it accepted.
+// store, and tells the promise checker what it accepted.
 #ifndef NUTMEGDRIFT_SOAK_OPERATOR_H
 #define NUTMEGDRIFT_SOAK_OPERATOR_H
 
@@ -13,7 +13,7 @@
   static constexpr char PlainService[] = "app";
   static constexpr char ModelService[] = "pool";
 
-  Operator(platform::FakeStore &Store, Ledger &Judge);
+  Operator(platform::FakeStore &Store, PromiseChecker &Checker);
 
   /// Routes and keys that callers may use now.
   [[nodiscard]] const routing::DesiredState &state() const { return m_state; }
@@ -32,7 +32,7 @@
   void write();
 
   platform::FakeStore &m_store;
-  Ledger &m_judge;
+  PromiseChecker &m_checker;
   routing::DesiredState m_state;
   std::size_t m_fixedRoutes = 0; ///< At the front of the routes; never removed.
   unsigned m_names = 0;
--- a/soak/ledger.cpp
+++ b/soak/promise_checker.cpp
@@ -1,5 +1,5 @@
 // The promises, checked as requests run and end.
-#include "ledger.h"
+#include "promise_checker.h"
 
 #include <algorithm>
 
@@ -44,27 +44,27 @@
       });
 }
 
-std::string Ledger::timeText() const {
+std::string PromiseChecker::timeText() const {
   const auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(
       m_clock.wallNow().time_since_epoch());
   return "time_us=" + std::to_string(Micros.count());
 }
 
 std::optional<TimePoint>
-Ledger::find(const std::map<std::string, TimePoint> &Among,
-             const std::string &Name) {
+PromiseChecker::find(const std::map<std::string, TimePoint> &Among,
+                     const std::string &Name) {
   const auto Found = Among.find(Name);
   return Found == Among.end() ? std::nullopt : std::optional(Found->second);
 }
 
-bool Ledger::calm(const Entry &Of, TimePoint From) const {
+bool PromiseChecker::calm(const Entry &Of, TimePoint From) const {
   const TimePoint Now = m_clock.now();
-  return m_quiet.calm(Of.Request.Daemon, From, Now) &&
-         m_quiet.calm(Store, From, Now);
+  return m_disturbed.calm(Of.Request.Daemon, From, Now) &&
+         m_disturbed.calm(Store, From, Now);
 }
 
-void Ledger::violate(const std::string &Promise, const Entry &Of,
-                     const std::string &Detail) {
+void PromiseChecker::violate(const std::string &Promise, const Entry &Of,
+                             const std::string &Detail) {
   ++m_count;
   if (m_violations.size() >= MaxDescribed)
     return;
@@ -74,14 +74,14 @@
       " age_ms=" + millis(m_clock.now() - Of.Request.At) + " " + Detail);
 }
 
-void Ledger::sent(SentRequest Request) {
+void PromiseChecker::sent(SentRequest Request) {
   ++m_sentCount;
   const std::string Id = Request.Id;
   m_entries[Id].Request = std::move(Request);
 }
 
-void Ledger::ran(const std::string &Id, const std::string &Replica,
-                 const std::string &Workspace) {
+void PromiseChecker::ran(const std::string &Id, const std::string &Replica,
+                         const std::string &Workspace) {
   const auto Found = m_entries.find(Id);
   if (Found == m_entries.end()) {
     violate("known-request", {.Request = {.Id = Id}},
@@ -92,8 +92,8 @@
   Found->second.Replicas.push_back(Replica);
 }
 
-void Ledger::checkRun(Entry &Of, const std::string &Replica,
-                      const std::string &Workspace) {
+void PromiseChecker::checkRun(Entry &Of, const std::string &Replica,
+                              const std::string &Workspace) {
   const SentRequest &Request = Of.Request;
   const TimePoint Now = m_clock.now();
   if (!routing::mayRepeat(Request.Kind) && !Of.Replicas.empty())
@@ -117,13 +117,13 @@
   if (const auto Left = find(m_leftReplicas, Replica);
       Left && Now > *Left + m_bounds.ReplicaLeft &&
       calm(Of, Now - m_bounds.ReplicaLeft) &&
-      m_quiet.calm(Replica, Request.At, Now))
+      m_disturbed.calm(Replica, Request.At, Now))
     violate("replica-left", Of,
             "replica=" + Replica + " left_ms_before=" + millis(Now - *Left));
 }
 
-void Ledger::ended(const std::string &Id, Ending How,
-                   const std::string &Detail) {
+void PromiseChecker::ended(const std::string &Id, Ending How,
+                           const std::string &Detail) {
   const auto Found = m_entries.find(Id);
   if (Found == m_entries.end() || Found->second.How)
     return;
@@ -132,8 +132,8 @@
   checkEnding(Found->second, How, Detail);
 }
 
-void Ledger::checkEnding(const Entry &Of, Ending How,
-                         const std::string &Detail) {
+void PromiseChecker::checkEnding(const Entry &Of, Ending How,
+                                 const std::string &Detail) {
   const SentRequest &Request = Of.Request;
   if (How == Ending::Broken)
     violate("whole-answer", Of, Detail);
@@ -159,7 +159,7 @@
     const auto Stop = find(m_stops, Request.Daemon);
     const bool Undisturbed = std::all_of(
         Of.Replicas.begin(), Of.Replicas.end(), [&](const std::string &Each) {
-          return m_quiet.calm(Each, Request.At, m_clock.now());
+          return m_disturbed.calm(Each, Request.At, m_clock.now());
         });
     if (Stop && Request.At > *Stop - std::chrono::seconds(8) &&
         !Of.Replicas.empty() && Undisturbed && calm(Of, Request.At))
@@ -167,7 +167,7 @@
   }
 }
 
-void Ledger::sweep() {
+void PromiseChecker::sweep() {
   const TimePoint Now = m_clock.now();
   for (auto &[Id, Each] : m_entries) {
     if (Each.How || Each.Overdue ||
--- a/soak/ledger.h
+++ b/soak/promise_checker.h
@@ -1,6 +1,6 @@
 // What callers and replicas saw, and the promises that it must keep.
-#ifndef NUTMEGDRIFT_SOAK_LEDGER_H
-#define NUTMEGDRIFT_SOAK_LEDGER_H
+#ifndef NUTMEGDRIFT_SOAK_PROMISE_CHECKER_H
+#define NUTMEGDRIFT_SOAK_PROMISE_CHECKER_H
 
 #include "nutmegdrift/base/clock.h"
 #include "nutmegdrift/routing/desired_state.h"
@@ -68,17 +68,17 @@
   TimePoint Deadline{};
 };
 
-/// Judges all requests. Names of daemons and replicas, and Store, are the names
-/// in Quiet.
-class Ledger {
+/// Checks all requests. Names of daemons and replicas, and Store, are the names
+/// in Disturbed.
+class PromiseChecker {
 public:
   /// The name of the store in Disturbances.
   static constexpr char Store[] = "store";
   /// Violations written out; the others are counted.
   static constexpr std::size_t MaxDescribed = 40;
 
-  Ledger(const Clock &Clk, const Disturbances &Quiet, Bounds Limits)
-      : m_clock(Clk), m_quiet(Quiet), m_bounds(Limits) {}
+  PromiseChecker(const Clock &Clk, const Disturbances &Disturbed, Bounds Limits)
+      : m_clock(Clk), m_disturbed(Disturbed), m_bounds(Limits) {}
 
   // What operators and replicas told the store, once it had accepted it.
   void keyAdded(const std::string &Key) { m_addedKeys[Key] = m_clock.now(); }
@@ -140,7 +140,7 @@
   find(const std::map<std::string, TimePoint> &Among, const std::string &Name);
 
   const Clock &m_clock;
-  const Disturbances &m_quiet;
+  const Disturbances &m_disturbed;
   const Bounds m_bounds;
   std::unordered_map<std::string, Entry> m_entries;
   std::map<std::string, TimePoint> m_addedKeys;
--- a/soak/replica_stand_in.cpp
+++ b/soak/replica_stand_in.cpp
@@ -45,10 +45,10 @@
 }
 
 ReplicaStandIn::ReplicaStandIn(net::EventLoop &Loop, const Clock &Clk,
-                               Random &Rng, Ledger &Judge,
+                               Random &Rng, PromiseChecker &Checker,
                                const std::string &Host, Options Traits)
-    : m_loop(Loop), m_clock(Clk), m_random(Rng), m_judge(Judge), m_host(Host),
-      m_options(std::move(Traits)), m_link(Loop, Clk, {}) {
+    : m_loop(Loop), m_clock(Clk), m_random(Rng), m_checker(Checker),
+      m_host(Host), m_options(std::move(Traits)), m_link(Loop, Clk, {}) {
   m_link.start(Host);
 }
 
@@ -111,7 +111,7 @@
     return;
   }
   m_underWay.push_back(Caller);
-  m_judge.ran(Id, m_id, field(Request, names::Workspace));
+  m_checker.ran(Id, m_id, field(Request, names::Workspace));
   const double Luck = uniform(m_random);
   if (Luck < Faults.Hangs)
     return;
--- a/soak/replica_stand_in.h
+++ b/soak/replica_stand_in.h
@@ -1,10 +1,10 @@
-// Replicas of the soak: they answer in the platform's form, tell the ledger
-// what they run, and fail as they are told.
+// Replicas of the soak: they answer in the platform's form, tell the promise
+// checker what they run, and fail as they are told.
 #ifndef NUTMEGDRIFT_SOAK_REPLICA_STAND_IN_H
 #define NUTMEGDRIFT_SOAK_REPLICA_STAND_IN_H
 
 #include "faulty_link.h"
-#include "ledger.h"
+#include "promise_checker.h"
 
 #include "nutmegdrift/net/http_server.h"
 #include "nutmegdrift/routing/replica_table.h"
@@ -40,7 +40,8 @@
   };
 
   ReplicaStandIn(net::EventLoop &Loop, const Clock &Clk, Random &Rng,
-                 Ledger &Judge, const std::string &Host, Options Traits);
+                 PromiseChecker &Checker, const std::string &Host,
+                 Options Traits);
   ~ReplicaStandIn();
 
   /// Starts a replica with a new id.
@@ -68,7 +69,7 @@
   net::EventLoop &m_loop;
   const Clock &m_clock;
   Random &m_random;
-  Ledger &m_judge;
+  PromiseChecker &m_checker;
   const std::string m_host;
   const Options m_options;
   FaultyLink m_link;
--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -1,7 +1,7 @@
-// Guards the soak's own parts: a judge that overlooks a broken promise, and a
+// Guards the soak's own parts: a checker that overlooks a broken promise, and a
 // link that shows no fault, would let every run pass.
 #include "faulty_link.h"
-#include "ledger.h"
+#include "promise_checker.h"
 
 #include "nutmegdrift/net/client_connection.h"
 #include "nutmegdrift/net/http_server.h"
@@ -16,146 +16,146 @@
 using namespace std::chrono_literals;
 using routing::RequestKind;
 
-struct LedgerTest : ::testing::Test {
-  void SetUp() override { Judge.Workspaces["k"] = "w"; }
+struct PromiseCheckerTest : ::testing::Test {
+  void SetUp() override { Checker.Workspaces["k"] = "w"; }
   void send(const std::string &Id, RequestKind Kind, const char *Route = "r") {
-    Judge.sent({.Id = Id,
-                .Daemon = "d",
-                .Key = "k",
-                .Route = Route,
-                .Kind = Kind,
-                .At = Clk.now(),
-                .Deadline = Clk.now() + 1s});
+    Checker.sent({.Id = Id,
+                  .Daemon = "d",
+                  .Key = "k",
+                  .Route = Route,
+                  .Kind = Kind,
+                  .At = Clk.now(),
+                  .Deadline = Clk.now() + 1s});
   }
   [[nodiscard]] bool violated(const std::string &Promise) const {
-    return Judge.violations().size() == 1 &&
-           Judge.violations().front().find(" promise=" + Promise + " ") !=
+    return Checker.violations().size() == 1 &&
+           Checker.violations().front().find(" promise=" + Promise + " ") !=
                std::string::npos;
   }
 
   ManualClock Clk;
-  Disturbances Quiet;
-  Ledger Judge{Clk, Quiet, {}};
+  Disturbances Disturbed;
+  PromiseChecker Checker{Clk, Disturbed, {}};
 };
 
-TEST_F(LedgerTest, SeesASecondRun) {
+TEST_F(PromiseCheckerTest, SeesASecondRun) {
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "w");
-  EXPECT_EQ(Judge.violationCount(), 0U);
-  Judge.ran("a", "y", "w");
+  Checker.ran("a", "x", "w");
+  EXPECT_EQ(Checker.violationCount(), 0U);
+  Checker.ran("a", "y", "w");
   EXPECT_TRUE(violated("run-once"));
 }
 
-TEST_F(LedgerTest, AllowsARepeatOfAnIdempotentRequest) {
+TEST_F(PromiseCheckerTest, AllowsARepeatOfAnIdempotentRequest) {
   send("a", RequestKind::Idempotent);
-  Judge.ran("a", "x", "w");
-  Judge.ran("a", "y", "w");
-  EXPECT_EQ(Judge.violationCount(), 0U);
+  Checker.ran("a", "x", "w");
+  Checker.ran("a", "y", "w");
+  EXPECT_EQ(Checker.violationCount(), 0U);
 }
 
-TEST_F(LedgerTest, SeesARefusalOfARequestThatRan) {
+TEST_F(PromiseCheckerTest, SeesARefusalOfARequestThatRan) {
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "w");
-  Judge.ended("a", Ending::NotRun, "");
+  Checker.ran("a", "x", "w");
+  Checker.ended("a", Ending::NotRun, "");
   EXPECT_TRUE(violated("not-run"));
 }
 
-TEST_F(LedgerTest, SeesARunAfterARefusal) {
+TEST_F(PromiseCheckerTest, SeesARunAfterARefusal) {
   send("a", RequestKind::Idempotent);
-  Judge.ended("a", Ending::NotRun, "");
-  Judge.ran("a", "x", "w");
+  Checker.ended("a", Ending::NotRun, "");
+  Checker.ran("a", "x", "w");
   EXPECT_TRUE(violated("not-run"));
 }
 
-TEST_F(LedgerTest, SeesARemovedKeyWhateverIsDisturbed) {
-  Quiet.begin("d", Clk.now());
-  Judge.keyRemoved("k");
+TEST_F(PromiseCheckerTest, SeesARemovedKeyWhateverIsDisturbed) {
+  Disturbed.begin("d", Clk.now());
+  Checker.keyRemoved("k");
   Clk.advance(4900ms);
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "w");
-  EXPECT_EQ(Judge.violationCount(), 0U);
+  Checker.ran("a", "x", "w");
+  EXPECT_EQ(Checker.violationCount(), 0U);
   Clk.advance(200ms);
   send("b", RequestKind::RunOnce);
-  Judge.ran("b", "x", "w");
+  Checker.ran("b", "x", "w");
   EXPECT_TRUE(violated("key-removed"));
 }
 
-TEST_F(LedgerTest, SeesARequestAtAReplicaThatLeft) {
-  Judge.replicaLeft("x");
+TEST_F(PromiseCheckerTest, SeesARequestAtAReplicaThatLeft) {
+  Checker.replicaLeft("x");
   Clk.advance(1900ms);
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "w");
-  EXPECT_EQ(Judge.violationCount(), 0U);
+  Checker.ran("a", "x", "w");
+  EXPECT_EQ(Checker.violationCount(), 0U);
   Clk.advance(200ms);
   send("b", RequestKind::RunOnce);
-  Judge.ran("b", "x", "w");
+  Checker.ran("b", "x", "w");
   EXPECT_TRUE(violated("replica-left"));
 }
 
 // A daemon that was disturbed has time to learn what it missed, but not for
 // ever.
-TEST_F(LedgerTest, ExcusesDisturbedDaemonsForAWhile) {
-  Quiet.begin("d", Clk.now());
-  Judge.routeRemoved("r");
+TEST_F(PromiseCheckerTest, ExcusesDisturbedDaemonsForAWhile) {
+  Disturbed.begin("d", Clk.now());
+  Checker.routeRemoved("r");
   Clk.advance(3s);
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "w");
-  EXPECT_EQ(Judge.violationCount(), 0U);
-  Quiet.end("d", Clk.now());
+  Checker.ran("a", "x", "w");
+  EXPECT_EQ(Checker.violationCount(), 0U);
+  Disturbed.end("d", Clk.now());
   Clk.advance(1min);
-  Judge.routeRemoved("r");
+  Checker.routeRemoved("r");
   Clk.advance(3s);
   send("b", RequestKind::RunOnce);
-  Judge.ran("b", "x", "w");
+  Checker.ran("b", "x", "w");
   EXPECT_TRUE(violated("route-removed"));
 }
 
-TEST_F(LedgerTest, SeesADeniedRequestOnAnAddedRoute) {
-  Judge.routeAdded("r");
+TEST_F(PromiseCheckerTest, SeesADeniedRequestOnAnAddedRoute) {
+  Checker.routeAdded("r");
   Clk.advance(1900ms);
   send("a", RequestKind::RunOnce);
-  Judge.ended("a", Ending::Denied, "");
-  EXPECT_EQ(Judge.violationCount(), 0U);
+  Checker.ended("a", Ending::Denied, "");
+  EXPECT_EQ(Checker.violationCount(), 0U);
   Clk.advance(200ms);
   send("b", RequestKind::RunOnce);
-  Judge.ended("b", Ending::Denied, "");
+  Checker.ended("b", Ending::Denied, "");
   EXPECT_TRUE(violated("allowed"));
 }
 
-TEST_F(LedgerTest, SeesADeniedRequestWithAnAddedKey) {
-  Judge.keyAdded("k");
+TEST_F(PromiseCheckerTest, SeesADeniedRequestWithAnAddedKey) {
+  Checker.keyAdded("k");
   Clk.advance(1900ms);
   send("a", RequestKind::RunOnce);
-  Judge.ended("a", Ending::Denied, "");
-  EXPECT_EQ(Judge.violationCount(), 0U);
+  Checker.ended("a", Ending::Denied, "");
+  EXPECT_EQ(Checker.violationCount(), 0U);
   Clk.advance(200ms);
   send("b", RequestKind::RunOnce);
-  Judge.ended("b", Ending::Denied, "");
+  Checker.ended("b", Ending::Denied, "");
   EXPECT_TRUE(violated("allowed"));
 }
 
-TEST_F(LedgerTest, SeesARequestWithoutAnAnswer) {
+TEST_F(PromiseCheckerTest, SeesARequestWithoutAnAnswer) {
   send("a", RequestKind::RunOnce);
   Clk.advance(1400ms);
-  Judge.sweep();
-  EXPECT_EQ(Judge.violationCount(), 0U);
+  Checker.sweep();
+  EXPECT_EQ(Checker.violationCount(), 0U);
   Clk.advance(200ms);
-  Judge.sweep();
+  Checker.sweep();
   EXPECT_TRUE(violated("answered-by-deadline"));
 }
 
-TEST_F(LedgerTest, SeesARequestThatAStopCut) {
+TEST_F(PromiseCheckerTest, SeesARequestThatAStopCut) {
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "w");
-  Judge.stopping("d");
+  Checker.ran("a", "x", "w");
+  Checker.stopping("d");
   Clk.advance(100ms);
-  Judge.ended("a", Ending::Cut, "");
+  Checker.ended("a", Ending::Cut, "");
   EXPECT_TRUE(violated("stop-loses-nothing"));
 }
 
-TEST_F(LedgerTest, SeesAnotherWorkspace) {
+TEST_F(PromiseCheckerTest, SeesAnotherWorkspace) {
   send("a", RequestKind::RunOnce);
-  Judge.ran("a", "x", "other");
+  Checker.ran("a", "x", "other");
   EXPECT_TRUE(violated("workspace"));
 }
 
