--- a/soak/nutmegsoak.cpp
+++ b/soak/nutmegsoak.cpp
@@ -3,8 +3,6 @@
 #include "caller.h"
 #include "fault_injector.h"
 
-#include <boost/asio/signal_set.hpp>
-
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -33,21 +31,19 @@
 /// The soak itself was held up; times that it measured are not to be trusted.
 constexpr Duration StallGap = milliseconds(250);
 
+/// Set by SIGINT and SIGTERM, read at each poll.
+volatile std::sig_atomic_t Interrupted = 0;
+
 class Soak {
 public:
   Soak(const FleetOptions &Options, unsigned Callers, seconds Length)
       : m_fleet(Options), m_faults(m_fleet, Options.Seed), m_length(Length),
-        m_poll(m_fleet.Loop), m_phase(m_fleet.Loop),
-        m_signals(m_fleet.Loop, SIGINT, SIGTERM) {
+        m_poll(m_fleet.Loop), m_phase(m_fleet.Loop) {
     for (unsigned I = 0; I < Callers; ++I)
       m_callers.push_back(std::make_unique<Caller>(m_fleet, I));
   }
 
   int run() {
-    m_signals.async_wait([this](const boost::system::error_code &Failed, int) {
-      if (!Failed)
-        m_fleet.Loop.stop();
-    });
     m_fleet.start();
     poll();
     m_phase.callAfter(WarmUp, [this] { begin(); });
@@ -74,6 +70,10 @@
     });
   }
   void poll() {
+    if (Interrupted != 0) {
+      m_fleet.Loop.stop();
+      return;
+    }
     const TimePoint Now = m_fleet.Clk.now();
     if (m_polled != TimePoint{} && Now - m_polled > StallGap) {
       m_fleet.Disturbed.begin(PromiseChecker::Store, m_polled);
@@ -120,7 +120,6 @@
   const Duration m_length;
   net::Timer m_poll;
   net::Timer m_phase;
-  boost::asio::signal_set m_signals;
   TimePoint m_polled{};
   std::map<Ending, std::size_t> m_final;
   bool m_done = false;
@@ -172,6 +171,8 @@
 
 int main(int Argc, char **Argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int Signal : {SIGINT, SIGTERM})
+    std::signal(Signal, [](int) { nutmegdrift::soak::Interrupted = 1; });
   try {
     return nutmegdrift::soak::runMain(Argc, Argv);
   } catch (const std::exception &Caught) {
