Make fewer calls to the store in an outage

Daemons that can't confirm their keys are not ready, and only ready ones were ranked, so in an outage each daemon took itself for the first and asked at the shortest pause.

Ready daemons are ranked before the others, and among equals the names decide.

Ruled out: watches restarted because of late answers (none in the logs) and kinds that all ask (one asks for the group).

--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -48,10 +48,14 @@
   /// Live daemons, this one included.
   [[nodiscard]] std::size_t daemons();
   /// This daemon's place in the order in which daemons ask the store for
-  /// confirmation; 0 asks first.
+  /// confirmation; 0 asks first. Those that accept requests come first: one
+  /// that the store turns away stops accepting. In an outage none accepts, and
+  /// their names decide.
   [[nodiscard]] std::size_t confirmRank();
   /// Tells the other daemons at once what this one believes.
   void tellFleet() { m_beacon.sendNow(); }
+  /// Whether the directory may name this daemon.
+  [[nodiscard]] bool accepts(TimePoint Now) const;
   /// Whether readiness checks succeed.
   [[nodiscard]] bool ready() const;
 
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -137,13 +137,28 @@
 }
 
 std::size_t Gateway::confirmRank() {
-  const std::vector<DispatcherCandidate> All = candidates();
+  const TimePoint Now = m_clock.now();
+  const bool Accepts = accepts(Now);
+  const auto &All = m_beacon.view().members();
   return static_cast<std::size_t>(
-      std::count_if(All.begin(), All.end(), [&](const auto &Each) {
-        return Each.Name < m_settings.Name;
+      std::count_if(All.begin(), All.end(), [&](const auto &Member) {
+        const Beat &Last = Member.second.Last;
+        if (!m_beacon.view().alive(Member.second, Now) || Last.Stopping)
+          return false;
+        return Last.Ready != Accepts ? Last.Ready
+                                     : Last.Daemon < m_settings.Name;
       }));
 }
 
+bool Gateway::accepts(TimePoint Now) const {
+  const auto Age = m_state.Freshness.age(Now);
+  const auto KeyBound = std::chrono::duration_cast<Duration>(
+      m_settings.Bounds.KeyRevocation * Call::KeyTrust);
+  const bool KeysWork = m_state.Table && (!m_state.Table->keysRequired() ||
+                                          (Age && *Age < KeyBound));
+  return ready() && KeysWork;
+}
+
 void Gateway::onRequest(const std::shared_ptr<net::ServerExchange> &Exchange) {
   std::make_shared<Call>(m_calls, Exchange)->start();
 }
@@ -209,15 +224,11 @@
 Beat Gateway::composeBeat() {
   const TimePoint Now = m_clock.now();
   const auto Age = m_state.Freshness.age(Now);
-  const auto KeyBound = std::chrono::duration_cast<Duration>(
-      m_settings.Bounds.KeyRevocation * Call::KeyTrust);
-  const bool KeysWork = m_state.Table && (!m_state.Table->keysRequired() ||
-                                          (Age && *Age < KeyBound));
   return {.Daemon = m_settings.Name,
           .Boot = m_boot,
           .Front = m_settings.Front,
           .Internal = m_settings.Internal,
-          .Ready = ready() && KeysWork,
+          .Ready = accepts(Now),
           .Stopping = m_state.Stopping,
           .Weight = m_settings.ProcessorShare,
           .StateVersion = m_state.Table ? m_state.Table->state().Version : 0,
