Refuse on a busy daemon by what workspaces asked for

A daemon shares what it takes max-min between workspaces by tokens, and refuses fewer large requests: they cost the processor hardly more than small ones.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -30,7 +30,7 @@
   EndpointPool &Pool;
   Placement &Models;
   CrashWatch &Crashes;
-  const policy::LoadShedder &Shedder;
+  policy::LoadShedder &Shedder;
   GatewayMetrics &Metrics;
   Random &Rng;
   /// Retry budgets by service.
@@ -67,9 +67,9 @@
   static const std::vector<Filter> &filters();
   std::optional<Error> checkState();
   std::optional<Error> readFacts();
-  std::optional<Error> checkLoad();
   std::optional<Error> findRoute();
   std::optional<Error> checkKey();
+  std::optional<Error> checkLoad();
   std::optional<Error> checkDeadline();
   std::optional<Error> checkCrashes();
   std::optional<Error> checkStopping();
--- a/include/nutmegdrift/policy/load_shedder.h
+++ b/include/nutmegdrift/policy/load_shedder.h
@@ -1,16 +1,21 @@
-// Which part of the requests a busy daemon refuses at once.
+// Which requests a busy daemon refuses at once.
 #ifndef NUTMEGDRIFT_POLICY_LOAD_SHEDDER_H
 #define NUTMEGDRIFT_POLICY_LOAD_SHEDDER_H
 
 #include "nutmegdrift/base/clock.h"
 
-#include <algorithm>
+#include <limits>
+#include <map>
+#include <string>
 
 namespace nutmegdrift::policy {
 
 /// Follows the lag of the event loop. A daemon whose processor can't bear its
 /// requests would answer all of them late; refused at once, a part of them
-/// leaves time for the others. Not thread-safe; decides without I/O.
+/// leaves time for the others. What is left is shared max-min between the
+/// workspaces, so one that asks for little loses nothing. A large request costs
+/// the processor hardly more than a small one, so fewer large ones are refused.
+/// Not thread-safe; decides without I/O.
 class LoadShedder {
 public:
   /// Lag above which more is refused. A VM with a tenth of a core is at rest
@@ -24,22 +29,33 @@
   static constexpr double Fall = 0.01;
   /// Some requests always pass, so that what they cost is seen.
   static constexpr double MostRefused = 0.9;
+  /// Weight of the demand of the ticks before in each new tick: at a tick of
+  /// 100 ms, a second counts most.
+  static constexpr double Memory = 0.9;
+  /// What a request without tokens counts beside those with tokens: the size of
+  /// a short prompt.
+  static constexpr double RequestTokens = 1000;
+  /// Weight of the newest request in the mean size: the last hundred count
+  /// most.
+  static constexpr double SizeSmoothing = 0.01;
 
   /// Call at regular times. MeanLag: see gateway::LoopLag.
-  void tick(Duration MeanLag) {
-    const double Over = std::chrono::duration<double>(MeanLag) /
-                            std::chrono::duration<double>(TargetLag) -
-                        1.0;
-    m_part += Over > 0 ? Rise * std::min(Over, 1.0) : -Fall;
-    m_part = std::clamp(m_part, 0.0, MostRefused);
-  }
-  /// Draw: even over 0 to 1.
-  [[nodiscard]] bool refuses(double Draw) const { return Draw < m_part; }
-  /// Part of the requests that is refused, 0 to MostRefused.
+  void tick(Duration MeanLag);
+  /// Notes a request of the workspace and tells whether it is refused. Tokens:
+  /// prompt and most output. Draw: even over 0 to 1.
+  bool refuses(const std::string &Workspace, double Tokens, double Draw);
+  /// Part of the demand that is refused, 0 to MostRefused.
   [[nodiscard]] double part() const { return m_part; }
 
 private:
+  void share();
+
   double m_part = 0;
+  /// Tokens by workspace, older ones weighted less.
+  std::map<std::string, double> m_demand;
+  double m_meanSize = RequestTokens;
+  /// Demand up to which a workspace is served in full.
+  double m_level = std::numeric_limits<double>::infinity();
 };
 
 } // namespace nutmegdrift::policy
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -33,8 +33,8 @@
 
 const std::vector<Call::Filter> &Call::filters() {
   static const std::vector<Filter> Chain = {
-      &Call::checkState,   &Call::readFacts,    &Call::checkLoad,
-      &Call::findRoute,    &Call::checkKey,     &Call::checkDeadline,
+      &Call::checkState,   &Call::readFacts,    &Call::findRoute,
+      &Call::checkKey,     &Call::checkLoad,    &Call::checkDeadline,
       &Call::checkCrashes, &Call::checkStopping};
   return Chain;
 }
@@ -78,16 +78,6 @@
   });
 }
 
-std::optional<Error> Call::checkLoad() {
-  if (!m_env.Shedder.refuses(uniform(m_env.Rng)))
-    return std::nullopt;
-  const auto Spread = std::chrono::duration_cast<Milliseconds>(
-      BusyRetrySpread * uniform(m_env.Rng));
-  return Error{.Kind = ErrorKind::QueueFull,
-               .Message = "this daemon is busy",
-               .RetryAfter = BusyRetry + Spread};
-}
-
 std::optional<Error> Call::findRoute() {
   const net::HttpRequest &Request = m_exchange->request();
   const auto Host = Request.Headers.find("Host");
@@ -120,6 +110,19 @@
   return std::nullopt;
 }
 
+std::optional<Error> Call::checkLoad() {
+  const double Tokens = static_cast<double>(m_facts.PromptTokens) +
+                        static_cast<double>(m_facts.OutputTokens);
+  if (!m_env.Shedder.refuses(m_workspace ? *m_workspace : std::string(), Tokens,
+                             uniform(m_env.Rng)))
+    return std::nullopt;
+  const auto Spread = std::chrono::duration_cast<Milliseconds>(
+      BusyRetrySpread * uniform(m_env.Rng));
+  return Error{.Kind = ErrorKind::QueueFull,
+               .Message = "this daemon is busy",
+               .RetryAfter = BusyRetry + Spread};
+}
+
 std::optional<Error> Call::checkDeadline() {
   Duration Allowed = DefaultLimit;
   if (m_route->Timeout.count() > 0)
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -733,6 +733,8 @@
   int Served = 0;
   int Refused = 0;
   for (int I = 0; I < 40; ++I) {
+    // The demand of the workspaces is looked at with each tick.
+    Loop.run_for(20ms);
     const Answer Got = call("/safe/x");
     if (Got.Status == 200) {
       ++Served;
