--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -440,6 +440,31 @@
   EXPECT_GT(Placed["flood"], Placed["small"]);
 }
 
+// A workspace whose prompts are too long to begin in time got less than half of
+// what it asked for, because requests of others that could still be in time all
+// came first.
+TEST_F(DispatcherFixture, LatePromptsAreNotStarvedByThoseInTime) {
+  replicas(2);
+  int Offered = 0;
+  int Placed = 0;
+  for (int Step = 0; Step < 1000; ++Step) {
+    for (int I = 0; I < 4; ++I)
+      Dispatcher.offer(request("flood", 100 + LastKey % 9), Now);
+    if (Step % 100 == 0) {
+      ++Offered;
+      Dispatcher.offer(request("long", 50, 200, 25000), Now);
+      SmallKeys.insert(LastKey);
+    }
+    const auto Made = Dispatcher.pump(Now);
+    for (const ModelDecision &Each : Made)
+      if (!Each.Where.empty() && SmallKeys.contains(Each.Key))
+        ++Placed;
+    serve(Made);
+    Now += 10ms;
+  }
+  EXPECT_GE(Placed, Offered / 2);
+}
+
 TEST_F(DispatcherFixture, ABrokenStreamGoesOnEvenUnderOverload) {
   // Load: a quarter of the engines crash under a flood. Streams that could go
   // on elsewhere were refused because their callers had come seconds ago.
