Accept fractional, zero and large bounds in the settings

Cause: retry_floor was read as an integer, and stop_grace_ms was the text of a number with three zeros appended. A ratio of 0 and a count such as 1e12 were rejected as well.

Change: durations and counts that the platform fills in are read as numbers that may be fractions, are clamped where a far larger one would overflow, and may be 0 where 0 has a meaning. Negative, infinite and mistyped values still name their field and line. stop_grace_s is new; stop_grace_ms stays.

The retry floor was divided by the daemons that a process knew when it first sent to a service, and kept that value: daemons that start together know only themselves, so each could use the whole floor of the fleet. It is divided by the current count every 500 ms, and a daemon with seeds uses none of it in its first two seconds.

Not changed: a key revocation of 0 makes every keyed request wait for a store that confirms within 0 ms, so such a deployment is refused all of them.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -37,6 +37,8 @@
   std::map<std::string, policy::RetryBudget> &Budgets;
   /// Number of live daemons, this one included.
   std::function<std::size_t()> Daemons;
+  /// Part of GatewayBounds::RetryFloor that this daemon may use.
+  std::function<double()> RetryFloor;
   TimePoint Started{};
   TimePoint StoppingSince{}; ///< Valid while State.Stopping.
 };
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -74,6 +74,8 @@
   void tick();
   void logLoad(TimePoint Now);
   void checkStopped();
+  [[nodiscard]] double retryFloor();
+  void updateRetryFloors();
   void applyLimits();
 
   net::EventLoop &m_loop;
--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -14,15 +14,18 @@
 struct GatewayBounds {
   /// Time after its revocation during which a key may still be accepted.
   Milliseconds KeyRevocation{5000};
+  /// Whether KeyRevocation also binds a daemon that can't reach the store. If
+  /// not, keys are accepted by the last desired state that is known.
+  bool RevokeWhenPartitioned = true;
   /// Time from a stop signal to the kill.
   Milliseconds StopGrace{8000};
   /// Time for which callers may cache a directory answer.
   std::chrono::seconds DirectoryTtl{2};
   /// Fleet-wide share of a service's requests that may be retries.
   double RetryShare = 0.2;
-  std::chrono::seconds RetryWindow{10};
+  Milliseconds RetryWindow{10000};
   /// Fleet-wide number of retries allowed in addition to the share.
-  unsigned RetryFloor = 0;
+  double RetryFloor = 0.0;
   /// Allowed multiple of a cold replica's rate.
   double ColdOverage = 1.5;
 
--- a/include/nutmegdrift/policy/retry_budget.h
+++ b/include/nutmegdrift/policy/retry_budget.h
@@ -17,7 +17,10 @@
 public:
   explicit RetryBudget(double Share = 0.1,
                        Duration Window = std::chrono::seconds(10),
-                       std::uint64_t Floor = 0);
+                       double Floor = 0.0);
+  /// Replaces the number of retries that are allowed whatever the share, for
+  /// example when the number of daemons that divide it has changed.
+  void setFloor(double Floor) { m_floor = Floor; }
 
   /// Records a first try.
   void onFirstTry(TimePoint Now);
@@ -35,7 +38,7 @@
   Bucket &bucketAt(TimePoint Now);
 
   double m_share;
-  std::uint64_t m_floor;
+  double m_floor;
   Duration m_bucketLength;
   std::array<Bucket, BucketCount> m_buckets{};
 };
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -100,6 +100,8 @@
       return std::nullopt;
     return Error{ErrorKind::UnknownKey, "no workspace has this key"};
   }
+  if (!m_env.Settings.Bounds.RevokeWhenPartitioned)
+    return std::nullopt;
   const auto Age = m_env.State.Freshness.age(m_env.Clk.now());
   const auto Bound = std::chrono::duration_cast<Duration>(
       m_env.Settings.Bounds.KeyRevocation * KeyTrustFraction);
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -76,8 +76,7 @@
   policy::RetryBudget &Budget =
       m_env.Budgets
           .try_emplace(m_service, m_env.Settings.Bounds.RetryShare * 0.75,
-                       m_env.Settings.Bounds.RetryWindow,
-                       m_env.Settings.Bounds.RetryFloor / m_env.Daemons())
+                       m_env.Settings.Bounds.RetryWindow, m_env.RetryFloor())
           .first->second;
   if (m_attempts == 0)
     Budget.onFirstTry(m_env.Clk.now());
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -22,6 +22,9 @@
 constexpr double MaxCallerDescriptorShare = 0.5;
 /// Time between two log lines of the daemon's load.
 constexpr Duration LoadLogInterval = std::chrono::seconds(2);
+/// A daemon that has just started does not know yet how many others share the
+/// fleet's retries, so it uses no part of their fixed number.
+constexpr Duration DiscoveryTime = std::chrono::seconds(2);
 /// Lower bound of a candidate's weight, for daemons whose weight is unknown.
 constexpr double MinDispatchWeight = 0.01;
 
@@ -77,6 +80,7 @@
                         .Rng = m_random,
                         .Budgets = m_budgets,
                         .Daemons = [this] { return daemons(); },
+                        .RetryFloor = [this] { return retryFloor(); },
                         .Started = Clk.now()},
       m_front(Loop, Clk,
               [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
@@ -140,6 +144,23 @@
   return m_beacon.view().aliveCount(m_clock.now()) + 1;
 }
 
+double Gateway::retryFloor() {
+  const bool Alone =
+      std::all_of(m_settings.Seeds.begin(), m_settings.Seeds.end(),
+                  [this](const std::string &Host) {
+                    return Host == m_settings.Internal.Host;
+                  });
+  if (!Alone && m_clock.now() - m_callEnvironment.Started < DiscoveryTime)
+    return 0.0;
+  return m_settings.Bounds.RetryFloor / static_cast<double>(daemons());
+}
+
+void Gateway::updateRetryFloors() {
+  const double Floor = retryFloor();
+  for (auto &[Service, Budget] : m_budgets)
+    Budget.setFloor(Floor);
+}
+
 std::size_t Gateway::confirmationRank() {
   const TimePoint Now = m_clock.now();
   const bool Accepts = accepts(Now);
@@ -158,8 +179,10 @@
   const auto Age = m_state.Freshness.age(Now);
   const auto KeyBound = std::chrono::duration_cast<Duration>(
       m_settings.Bounds.KeyRevocation * Call::KeyTrustFraction);
-  const bool KeysWork = m_state.Table && (!m_state.Table->keysRequired() ||
-                                          (Age && *Age < KeyBound));
+  const bool KeysWork =
+      m_state.Table &&
+      (!m_state.Table->keysRequired() ||
+       !m_settings.Bounds.RevokeWhenPartitioned || (Age && *Age < KeyBound));
   return ready() && KeysWork;
 }
 
@@ -358,6 +381,7 @@
   }
   if (Now - m_lastSweep >= SweepInterval) {
     m_lastSweep = Now;
+    updateRetryFloors();
     const auto Removed = m_state.Replicas.expire(Now);
     for (const routing::ReplicaId &Id : Removed)
       m_log.line(LogClass::State, "replica.gone", {{"replica", Id}});
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -2,6 +2,7 @@
 #include "nutmegdrift/gateway/settings.h"
 #include "yaml_values.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -20,21 +21,33 @@
   const GatewayBounds Default;
   if (!Node)
     return Default;
+  const Milliseconds StopGrace =
+      durationIn(Node, "stop_grace_ms", MillisecondUnit, Default.StopGrace);
   return {
-      .KeyRevocation = Milliseconds(positiveInteger(
-          Node, "key_revocation_ms", Default.KeyRevocation.count())),
-      .StopGrace = Milliseconds(
-          positiveInteger(Node, "stop_grace_ms", Default.StopGrace.count())),
+      .KeyRevocation = durationIn(Node, "key_revocation_ms", MillisecondUnit,
+                                  Default.KeyRevocation),
+      .RevokeWhenPartitioned = valueOr<bool>(Node, "revoke_when_partitioned",
+                                             Default.RevokeWhenPartitioned),
+      .StopGrace = durationIn(Node, "stop_grace_s", SecondUnit, StopGrace),
       .DirectoryTtl = std::chrono::seconds(positiveInteger(
           Node, "directory_ttl_s", Default.DirectoryTtl.count())),
-      .RetryShare = positiveNumber(Node, "retry_share", Default.RetryShare),
-      .RetryWindow = std::chrono::seconds(
-          positiveInteger(Node, "retry_window_s", Default.RetryWindow.count())),
-      .RetryFloor = valueOr<unsigned>(Node, "retry_floor", Default.RetryFloor),
-      .ColdOverage = positiveNumber(Node, "cold_overage", Default.ColdOverage),
+      .RetryShare = nonNegativeNumber(Node, "retry_share", Default.RetryShare),
+      .RetryWindow =
+          durationIn(Node, "retry_window_s", SecondUnit, Default.RetryWindow),
+      .RetryFloor = nonNegativeNumber(Node, "retry_floor", Default.RetryFloor),
+      .ColdOverage =
+          nonNegativeNumber(Node, "cold_overage", Default.ColdOverage),
   };
 }
 
+/// A count that the platform may write as a fraction or far too large.
+unsigned countOf(const YAML::Node &Parent, const std::string &Name,
+                 double Default) {
+  constexpr double MaxCount = 1e9;
+  return static_cast<unsigned>(
+      std::clamp(positiveNumber(Parent, Name, Default), 1.0, MaxCount));
+}
+
 GatewaySettings parseRoot(const YAML::Node &Root) {
   if (!Root.IsMap())
     throw BadSetting{"settings: not a map"};
@@ -51,10 +64,8 @@
       .Metrics = parseAddress(Listen, "metrics"),
       .Store = parseAddress(Root, "store"),
       .ProcessorShare = positiveNumber(Root, "processor_share", 1.0),
-      .MemoryMegabytes =
-          static_cast<unsigned>(positiveInteger(Root, "memory_mb", 256)),
-      .Descriptors =
-          static_cast<unsigned>(positiveInteger(Root, "descriptors", 1024)),
+      .MemoryMegabytes = countOf(Root, "memory_mb", 256),
+      .Descriptors = countOf(Root, "descriptors", 1024),
       .Bounds = parseBounds(Root["bounds"]),
       .Dispatch = parseDispatcherOptions(Root["dispatch"]),
   };
--- a/src/nutmegdrift/gateway/yaml_values.h
+++ b/src/nutmegdrift/gateway/yaml_values.h
@@ -6,6 +6,9 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace nutmegdrift::gateway {
 
 /// Thrown while parsing; the function that parses a file converts it to an
@@ -60,6 +63,30 @@
   return Value;
 }
 
+inline double nonNegativeNumber(const YAML::Node &Parent,
+                                const std::string &Name, double Default) {
+  const auto Value = valueOr<double>(Parent, Name, Default);
+  if (!(Value >= 0.0) || !std::isfinite(Value))
+    throwBadSetting(Parent[Name], Name, "must be 0 or more");
+  return Value;
+}
+
+inline constexpr double MillisecondUnit = 1.0; ///< In milliseconds.
+inline constexpr double SecondUnit = 1000.0;   ///< In milliseconds.
+
+/// A length of time, which may be a fraction of its unit. Lengths of more than
+/// a year count as a year.
+inline routing::Milliseconds durationIn(const YAML::Node &Parent,
+                                        const std::string &Name,
+                                        double UnitInMilliseconds,
+                                        routing::Milliseconds Default) {
+  constexpr double MaxMilliseconds = 365.0 * 24 * 3600 * 1000;
+  const double Units = nonNegativeNumber(
+      Parent, Name, static_cast<double>(Default.count()) / UnitInMilliseconds);
+  return routing::Milliseconds(static_cast<std::int64_t>(
+      std::min(Units * UnitInMilliseconds, MaxMilliseconds)));
+}
+
 /// Parses the options of a dispatcher; missing ones keep their defaults.
 inline routing::DispatcherOptions
 parseDispatcherOptions(const YAML::Node &Node) {
--- a/src/nutmegdrift/policy/retry_budget.cpp
+++ b/src/nutmegdrift/policy/retry_budget.cpp
@@ -5,7 +5,7 @@
 
 namespace nutmegdrift::policy {
 
-RetryBudget::RetryBudget(double Share, Duration Window, std::uint64_t Floor)
+RetryBudget::RetryBudget(double Share, Duration Window, double Floor)
     : m_share(Share), m_floor(Floor),
       m_bucketLength(
           std::max(Window / static_cast<int>(BucketCount), Duration(1))) {}
@@ -31,8 +31,9 @@
     FirstTries += Entry.FirstTries;
     Retries += Entry.Retries;
   }
-  if (Retries >= m_floor && static_cast<double>(Retries + 1) >
-                                m_share * static_cast<double>(FirstTries))
+  const double Allowed =
+      std::max(m_floor, m_share * static_cast<double>(FirstTries));
+  if (static_cast<double>(Retries + 1) > Allowed)
     return false;
   ++Current.Retries;
   return true;
--- a/src/nutmegdrift/policy/service_counters_test.cpp
+++ b/src/nutmegdrift/policy/service_counters_test.cpp
@@ -74,6 +74,21 @@
 
 // At low rates the share alone allows no retry; the floor allows its number and
 // no more.
+// Daemons that start together each know only themselves at first. A floor that
+// stayed at that count allowed the fleet many times its retries.
+TEST(RetryBudget, AChangedFloorAppliesToTheCurrentWindow) {
+  using namespace std::chrono_literals;
+  RetryBudget Budget(0.1, 10s, 8);
+  const TimePoint Now{1h};
+  EXPECT_TRUE(Budget.tryRetry(Now));
+  EXPECT_TRUE(Budget.tryRetry(Now));
+  Budget.setFloor(2.2);
+  EXPECT_FALSE(Budget.tryRetry(Now));
+  Budget.setFloor(3.5);
+  EXPECT_TRUE(Budget.tryRetry(Now));
+  EXPECT_FALSE(Budget.tryRetry(Now));
+}
+
 TEST(RetryBudget, AllowsTheFloorAtLowRates) {
   ManualClock Clk;
   RetryBudget Budget(0.1, 10s, 3);
