Move running requests with the dispatcher's role

Cause: when another daemon began to dispatch a service, every daemon reported its running requests to it, but never withdrew them from the old dispatcher, which counted them until its connections closed. In the other direction a role that returned over an open connection brought no running requests at all. Prompts that were already read were charged to the reading allowance of their engines and lowered the learned overhead, so a new dispatcher placed nothing for seconds; and a daemon that did not dispatch charged its own granted requests at its share of the fleet (1/195), so that it could place next to nothing when it lost the dispatcher.

Change: - Placement keeps the role of each service. A change withdraws running requests from the former dispatcher and reports them to the next one, whether its connection is new or not. - EngineEstimate::takenOver: such a request takes a slot and memory, but no reading allowance, and teaches neither the overhead nor the residence time. - A dispatcher that broke its connection or is unresponsive is passed over at once for the next candidate, instead of after its heartbeats are missed (1.7 s). The share of a daemon that others place at follows their number. The share of cold replicas still goes by the first choice, on which all agree. - The requests of a daemon whose heartbeats are missed free their slots, unless the dispatcher itself was stalled. - The role is computed every 40 ms and not for every request, which copied the names of all daemons twice a request. - Refusals passed on by another daemon carry the predicted time to the first token; the log showed predicted_ms=0. Both new fields are appended to their messages, which older daemons ignore.

--- a/include/nutmegdrift/gateway/fleet_beacon.h
+++ b/include/nutmegdrift/gateway/fleet_beacon.h
@@ -34,6 +34,8 @@
   [[nodiscard]] bool alive(const Member &Peer, TimePoint Now) const {
     return Now - Peer.LastHeartbeat < MemberTimeout;
   }
+  /// Whether the daemon is known and its heartbeats are missed.
+  [[nodiscard]] bool lost(const DaemonName &Daemon, TimePoint Now) const;
   [[nodiscard]] const std::map<DaemonName, Member> &members() const {
     return m_members;
   }
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -92,6 +92,7 @@
   bool Started = false;
   bool Repeated = false;       ///< See routing::ModelRequest.
   Milliseconds ReportDelay{0}; ///< See routing::ModelRequest.
+  DaemonName Sender;           ///< Empty: sent by an older version.
 
   friend bool operator==(const PlaceRequest &, const PlaceRequest &) = default;
 };
@@ -126,6 +127,8 @@
 struct PlaceRefusal {
   std::uint64_t Sequence = 0;
   Milliseconds RetryAfter{0};
+  /// See routing::ModelDecision; 0 if sent by an older version.
+  Milliseconds PredictedFirstToken{0};
   friend bool operator==(const PlaceRefusal &, const PlaceRefusal &) = default;
 };
 
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -45,6 +45,15 @@
   /// Reports that arrive within this time are handled in one pass, because the
   /// cost of a pass grows with the number of waiting requests.
   static constexpr Duration MinPumpInterval = std::chrono::milliseconds(2);
+  /// A lost dispatcher that is not the first choice is tried again after this.
+  static constexpr Duration LostDispatcherRetry = std::chrono::seconds(5);
+  /// A daemon that requested a placement within this time counts as one that
+  /// uses this dispatcher.
+  static constexpr Duration ActiveClientTime = std::chrono::seconds(1);
+  /// A check that is this late shows a stall of the daemon, after which it
+  /// doesn't judge others by missed heartbeats for CatchUpTime.
+  static constexpr Duration StallTime = std::chrono::milliseconds(500);
+  static constexpr Duration CatchUpTime = std::chrono::seconds(1);
   /// Time between two log lines about each dispatched service.
   static constexpr Duration SummaryInterval = std::chrono::seconds(2);
 
@@ -60,6 +69,8 @@
     std::function<std::vector<DispatcherCandidate>()> Candidates;
     /// Address of a live daemon.
     std::function<std::optional<HostPort>(const DaemonName &)> AddressOf;
+    /// Whether the daemon's heartbeats were received once and are missed now.
+    std::function<bool(const DaemonName &)> IsLost;
     std::uint64_t Seed = 0;
   };
 
@@ -85,9 +96,13 @@
   /// sending of the request.
   void started(routing::RequestKey Key, Duration TimeToFirstEvent);
 
-  /// The service's dispatcher in this daemon's current view.
+  /// The service's dispatcher in this daemon's view: the best candidate that
+  /// this daemon can reach. Empty before the first replicas are known.
   [[nodiscard]] DaemonName dispatcherOf(const std::string &Service) const;
   [[nodiscard]] std::size_t waiting() const;
+  /// Requests that this daemon counts as running on the service's replicas,
+  /// those of other daemons included.
+  [[nodiscard]] std::size_t running(const std::string &Service) const;
 
 private:
   class Link;   // A connection to a dispatcher.
@@ -102,7 +117,18 @@
     routing::ReplicaId RunningOn{};
   };
 
+  /// Who dispatches a service, as of the last updateRoles().
+  struct Role {
+    DaemonName FirstChoice; ///< Of all candidates, reachable or not.
+    DaemonName Dispatcher;
+
+    friend bool operator==(const Role &, const Role &) = default;
+  };
+
   routing::ModelDispatcher &dispatcher(const std::string &Service);
+  void updateRoles();
+  void updateRole(const std::string &Service, Role &Current);
+  [[nodiscard]] bool dispatches(const std::string &Service) const;
   void offerLocally(const std::string &Service, routing::RequestKey Key);
   void deliver(const std::string &Service,
                const routing::ModelDecision &Decision);
@@ -112,9 +138,18 @@
   void pump();
   void checkLinks();
   void updateShares();
+  /// The part of the daemons that place the service's requests here.
+  [[nodiscard]] double shareOf(const std::string &Service) const;
   Link *linkTo(const DaemonName &Daemon);
+  /// Reports the running requests of the services that Target dispatches, and
+  /// withdraws them from their former dispatchers.
   void reportRunning(Link &Target);
+  void withdrawReport(routing::RequestKey Key, const DaemonName &Former);
+  void dropLostClients(TimePoint Now);
   void onLinkFailed(const DaemonName &Daemon);
+  void onDispatcherLost(const DaemonName &Daemon);
+  /// The link was opened, or its daemon answers again.
+  void onLinkResponsive(Link &Restored);
   void onDispatcherMessage(const DaemonName &Daemon,
                            const PlacementMessage &Message);
   void onClientMessage(Client &Requester, const PlacementMessage &Message);
@@ -129,6 +164,15 @@
   net::Timer m_pumpTimer;
   net::Timer m_checkTimer;
   TimePoint m_lastPump{};
+  TimePoint m_lastCheck{};
+  /// Until then the heartbeats of others may be unread after a stall.
+  TimePoint m_catchingUpUntil{};
+  std::vector<DispatcherCandidate> m_candidates; ///< Of the last updateRoles().
+  std::map<std::string, Role> m_roles;           ///< By service.
+  /// Daemons that could not be reached or did not answer as dispatchers, with
+  /// the time of the loss. They don't dispatch for this daemon until they
+  /// answer again.
+  std::map<DaemonName, TimePoint> m_lostDispatchers;
   std::map<std::string, routing::ModelDispatcher> m_dispatchers;
   std::map<routing::RequestKey, LocalRequest> m_localRequests;
   std::map<DaemonName, std::shared_ptr<Link>> m_links;
--- a/include/nutmegdrift/routing/engine_estimate.h
+++ b/include/nutmegdrift/routing/engine_estimate.h
@@ -110,6 +110,13 @@
               std::uint32_t PromptTokens, std::uint32_t OutputTokens,
               TimePoint Now, std::uint32_t Fetched = 0,
               Duration ReportDelay = Duration{0});
+  /// Records a request that another dispatcher placed, before the role changed.
+  /// It takes a slot and memory, but no reading allowance: that of its prompt
+  /// was granted by the other dispatcher. Started: the prompt has been read.
+  void takenOver(RequestKey Key, const SharedPrefix &Prefix,
+                 std::uint32_t PromptTokens, std::uint32_t OutputTokens,
+                 bool Started, TimePoint Now,
+                 Duration ReportDelay = Duration{0});
   /// Records that the request's first event was reported at Now. AtEngine: see
   /// ModelDispatcher::started(). Without it, the time of the event is Now less
   /// the ReportDelay of the placement.
@@ -155,6 +162,10 @@
     Duration PredictedReading; ///< From the placement to the end of reading.
     Duration ReportDelay;
   };
+  void addRequest(RequestKey Key, const SharedPrefix &Prefix,
+                  std::uint64_t Tokens, bool KnownStart, TimePoint Now);
+  void addWaiting(RequestKey Key, std::uint32_t Tokens, TimePoint Now,
+                  Duration ReportDelay);
   /// Estimates when the engine began to read the first waiting prompt.
   [[nodiscard]] TimePoint headReadingStart() const;
   void learnOverhead(const WaitingPrompt &Started, TimePoint Now);
@@ -178,6 +189,7 @@
     std::uint64_t Tokens;
     TimePoint Placed;
     SharedPrefix Prefix;
+    bool KnownStart; ///< False: Placed is only when it was taken over.
   };
   std::unordered_map<RequestKey, PlacedRequest> m_requests;
   Duration m_meanResidenceTime = InitialResidenceTime;
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -141,9 +141,10 @@
   /// request is not queued.
   bool withdraw(RequestKey Key);
 
-  /// Accounts for a request that another dispatcher placed.
-  void recordPlacement(const ModelRequest &Request,
-                       const ReplicaId &Destination, TimePoint Now);
+  /// Accounts for a request that another dispatcher placed. Started: its first
+  /// event was received.
+  void takeOver(const ModelRequest &Request, const ReplicaId &Destination,
+                bool Started, TimePoint Now);
   /// Records the first event of a request. AtEngine: time from sending the
   /// request to that event, if the sending daemon measured it.
   void started(RequestKey Key, TimePoint Now,
--- a/src/nutmegdrift/gateway/fleet_beacon.cpp
+++ b/src/nutmegdrift/gateway/fleet_beacon.cpp
@@ -26,6 +26,11 @@
   });
 }
 
+bool FleetView::lost(const DaemonName &Daemon, TimePoint Now) const {
+  const auto Entry = m_members.find(Daemon);
+  return Entry != m_members.end() && !alive(Entry->second, Now);
+}
+
 std::size_t FleetView::aliveCount(TimePoint Now) const {
   std::size_t Count = 0;
   for (const auto &[Name, Peer] : m_members)
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -76,6 +76,9 @@
           .Elapsed = Milliseconds(V.at(3).get<std::int64_t>())};
 }
 
+// Fields appended to a message are optional for its receiver, and older
+// receivers ignore them, so that daemons of two versions understand each other
+// during an upgrade.
 struct MessageEncoder {
   json operator()(const PlaceRequest &M) const {
     json Out = json::array();
@@ -93,7 +96,8 @@
            M.RunningOn,
            M.Started,
            M.Repeated,
-           M.ReportDelay.count()};
+           M.ReportDelay.count(),
+           M.Sender};
     return Out;
   }
   json operator()(const WithdrawRequest &M) const {
@@ -109,13 +113,19 @@
     return json::array({4, M.Sequence, M.Replica, M.FetchFrom});
   }
   json operator()(const PlaceRefusal &M) const {
-    return json::array({5, M.Sequence, M.RetryAfter.count()});
+    return json::array(
+        {5, M.Sequence, M.RetryAfter.count(), M.PredictedFirstToken.count()});
   }
   json operator()(const DispatcherKeepAlive &) const {
     return json::array({6});
   }
 };
 
+/// A field that older senders leave out.
+template <class T> T optionalField(const json &V, std::size_t Index) {
+  return Index < V.size() ? V.at(Index).get<T>() : T();
+}
+
 PlaceRequest decodePlaceRequest(const json &V) {
   return {.Sequence = V.at(1).get<std::uint64_t>(),
           .Service = V.at(2).get<std::string>(),
@@ -130,7 +140,8 @@
           .RunningOn = V.at(11).get<std::string>(),
           .Started = V.at(12).get<bool>(),
           .Repeated = V.at(13).get<bool>(),
-          .ReportDelay = Milliseconds(V.at(14).get<std::int64_t>())};
+          .ReportDelay = Milliseconds(V.at(14).get<std::int64_t>()),
+          .Sender = optionalField<std::string>(V, 15)};
 }
 
 PlacementMessage decodeMessage(const json &V) {
@@ -158,8 +169,9 @@
                       .FetchFrom = V.at(3).get<std::string>()};
   case 5:
     return PlaceRefusal{.Sequence = V.at(1).get<std::uint64_t>(),
-                        .RetryAfter =
-                            Milliseconds(V.at(2).get<std::int64_t>())};
+                        .RetryAfter = Milliseconds(V.at(2).get<std::int64_t>()),
+                        .PredictedFirstToken =
+                            Milliseconds(optionalField<std::int64_t>(V, 3))};
   case 6:
     return DispatcherKeepAlive{};
   default:
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -65,6 +65,10 @@
            .Candidates = [this] { return candidates(); },
            .AddressOf =
                [this](const DaemonName &Daemon) { return addressOf(Daemon); },
+           .IsLost =
+               [this](const DaemonName &Daemon) {
+                 return m_beacon.view().lost(Daemon, m_clock.now());
+               },
            .Seed = m_boot}),
       m_callEnvironment{.Loop = Loop,
                         .Clk = Clk,
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -106,13 +106,15 @@
                    .RunningOn = "r2",
                    .Started = true,
                    .Repeated = true,
-                   .ReportDelay = Milliseconds(70)},
+                   .ReportDelay = Milliseconds(70),
+                   .Sender = "d"},
       WithdrawRequest{.Sequence = 2},
       StartedReport{.Sequence = 3, .TimeToFirstEvent = Milliseconds(40)},
       EndedReport{.Sequence = 4,
                   .Outcome = routing::ReplicaOutcome::Unresponsive},
       PlaceGrant{.Sequence = 5, .Replica = "r", .FetchFrom = "r2"},
-      PlaceRefusal{.Sequence = 6, .RetryAfter = 400ms},
+      PlaceRefusal{
+          .Sequence = 6, .RetryAfter = 400ms, .PredictedFirstToken = 900ms},
       DispatcherKeepAlive{}};
   std::string Buffer;
   for (const PlacementMessage &Message : Messages)
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace nutmegdrift::gateway {
 
@@ -95,14 +96,15 @@
   void onConnected() override {
     m_connected = true;
     m_lastReceived = m_owner.m_env.Clk.now();
-    m_owner.reportRunning(*this);
+    m_owner.onLinkResponsive(*this);
   }
   void onConnectFailed() override { disconnect(); }
   void onEnd(net::StreamEnd) override { disconnect(); }
   void onData(std::string_view Data) override {
     auto Self = shared_from_this();
     m_lastReceived = m_owner.m_env.Clk.now();
-    m_unresponsive = false;
+    if (std::exchange(m_unresponsive, false))
+      m_owner.onLinkResponsive(*this);
     m_received.append(Data);
     bool Malformed = false;
     while (const auto Message = decodeFrame(m_received, Malformed)) {
@@ -156,6 +158,24 @@
     return m_requests;
   }
   [[nodiscard]] std::size_t waiting() const { return m_waiting; }
+  /// Name of the daemon; empty until its first request.
+  [[nodiscard]] const DaemonName &daemon() const { return m_daemon; }
+  void requested(const PlaceRequest &Request, TimePoint Now) {
+    if (m_daemon != Request.Sender)
+      m_daemon = Request.Sender;
+    if (Request.RunningOn.empty())
+      m_lastRequested[Request.Service] = Now;
+  }
+  [[nodiscard]] bool active(const std::string &Service, TimePoint Now) const {
+    const auto Entry = m_lastRequested.find(Service);
+    return Entry != m_lastRequested.end() &&
+           Now - Entry->second < ActiveClientTime;
+  }
+  void disconnect() {
+    auto Self = shared_from_this();
+    m_stream->close();
+    m_owner.onClientDisconnected(*this);
+  }
   void changeWaiting(int Delta) {
     m_waiting = static_cast<std::size_t>(std::max<std::int64_t>(
         static_cast<std::int64_t>(m_waiting) + Delta, 0));
@@ -167,15 +187,10 @@
     bool Malformed = false;
     while (const auto Message = decodeFrame(m_received, Malformed))
       m_owner.onClientMessage(*this, *Message);
-    if (Malformed) {
-      m_stream->close();
-      m_owner.onClientDisconnected(*this);
-    }
-  }
-  void onEnd(net::StreamEnd) override {
-    auto Self = shared_from_this();
-    m_owner.onClientDisconnected(*this);
+    if (Malformed)
+      disconnect();
   }
+  void onEnd(net::StreamEnd) override { disconnect(); }
 
 private:
   Placement &m_owner;
@@ -185,6 +200,8 @@
   /// Service of each waiting or running request, by sequence.
   std::map<std::uint64_t, std::string> m_requests;
   std::size_t m_waiting = 0;
+  DaemonName m_daemon;
+  std::map<std::string, TimePoint> m_lastRequested; ///< By service.
 };
 
 Placement::Placement(Environment Env)
@@ -221,6 +238,8 @@
 void Placement::setReplicas(const routing::Service &Service,
                             const std::vector<routing::Replica *> &Usable) {
   dispatcher(Service.Name).setReplicas(Usable, Service);
+  if (!m_roles.contains(Service.Name))
+    updateRoles();
   schedulePump();
 }
 
@@ -230,20 +249,79 @@
 }
 
 DaemonName Placement::dispatcherOf(const std::string &Service) const {
-  return chooseDispatcher(Service, m_env.Candidates());
+  const auto Entry = m_roles.find(Service);
+  return Entry == m_roles.end() ? DaemonName() : Entry->second.Dispatcher;
+}
+
+bool Placement::dispatches(const std::string &Service) const {
+  return dispatcherOf(Service) == m_env.Self;
+}
+
+void Placement::updateRoles() {
+  const TimePoint Now = m_env.Clk.now();
+  m_candidates = m_env.Candidates();
+  for (const auto &[Service, Dispatcher] : m_dispatchers)
+    updateRole(Service, m_roles[Service]);
+  std::erase_if(m_lostDispatchers, [&](const auto &Entry) {
+    return Now - Entry.second > LostDispatcherRetry;
+  });
+  updateShares();
+}
+
+void Placement::updateRole(const std::string &Service, Role &Current) {
+  Current.FirstChoice = chooseDispatcher(Service, m_candidates);
+  DaemonName Next = Current.FirstChoice;
+  if (m_lostDispatchers.contains(Next)) {
+    std::vector<DispatcherCandidate> Reachable = m_candidates;
+    std::erase_if(Reachable, [this](const DispatcherCandidate &Candidate) {
+      return m_lostDispatchers.contains(Candidate.Name);
+    });
+    Next = chooseDispatcher(Service, Reachable);
+  }
+  if (Next == Current.Dispatcher)
+    return;
+  m_env.Log.line(LogClass::State, "dispatcher.changed",
+                 {{"service", Service},
+                  {"from", Current.Dispatcher},
+                  {"to", Next},
+                  {"first_choice", Current.FirstChoice}});
+  Current.Dispatcher = Next;
+  if (Next == m_env.Self || Next.empty()) {
+    for (auto &[Key, Local] : m_localRequests)
+      if (Local.Service == Service && !Local.RunningOn.empty())
+        withdrawReport(Key, std::exchange(Local.Dispatcher, {}));
+    return;
+  }
+  if (Link *Target = linkTo(Next); Target && Target->connected())
+    reportRunning(*Target);
+}
+
+double Placement::shareOf(const std::string &Service) const {
+  if (dispatches(Service))
+    return 1.0;
+  // Daemons that lost the dispatcher may place here although this daemon still
+  // reaches it.
+  const TimePoint Now = m_env.Clk.now();
+  const auto Placing =
+      1 +
+      std::count_if(m_clients.begin(), m_clients.end(), [&](const auto &Entry) {
+        return Entry.second->active(Service, Now);
+      });
+  const auto Daemons = std::max<std::size_t>(m_candidates.size(), 1);
+  return std::min(1.0,
+                  static_cast<double>(Placing) / static_cast<double>(Daemons));
 }
 
 void Placement::updateShares() {
-  const std::size_t Daemons =
-      std::max<std::size_t>(m_env.Candidates().size(), 1);
+  const std::size_t Daemons = std::max<std::size_t>(m_candidates.size(), 1);
   for (auto &[Service, Dispatcher] : m_dispatchers) {
     routing::DispatcherOptions Options = m_options;
-    const bool Dispatches = dispatcherOf(Service) == m_env.Self;
-    if (!Dispatches)
-      Options.Share = 1.0 / static_cast<double>(Daemons);
-    Options.ColdShare =
-        routing::coldShare(Dispatches, Daemons, m_env.Clk.now() - m_started,
-                           hashText(m_env.Self, hashText(Service)));
+    Options.Share = shareOf(Service);
+    // By the first choice, on which all daemons agree, because together they
+    // must not exceed a cold replica's rate.
+    Options.ColdShare = routing::coldShare(
+        m_roles[Service].FirstChoice == m_env.Self, Daemons,
+        m_env.Clk.now() - m_started, hashText(m_env.Self, hashText(Service)));
     Dispatcher.setOptions(Options);
   }
 }
@@ -299,7 +377,8 @@
                    .RemainingWait = toMs(Stored.FirstTokenDeadline - Now),
                    .Tried = {Stored.Tried.begin(), Stored.Tried.end()},
                    .Repeated = Stored.Repeated,
-                   .ReportDelay = toMs(m_lag * RemoteReportDelayFactor)});
+                   .ReportDelay = toMs(m_lag * RemoteReportDelayFactor),
+                   .Sender = m_env.Self});
   return Key;
 }
 
@@ -344,8 +423,10 @@
   Recipient.changeWaiting(-1);
   if (Decision.Destination.empty()) {
     Recipient.requests().erase(Sequence);
-    Recipient.send(
-        PlaceRefusal{.Sequence = Sequence, .RetryAfter = Decision.RetryAfter});
+    Recipient.send(PlaceRefusal{.Sequence = Sequence,
+                                .RetryAfter = Decision.RetryAfter,
+                                .PredictedFirstToken =
+                                    toMs(Decision.PredictedFirstToken)});
     return;
   }
   Recipient.send(PlaceGrant{.Sequence = Sequence,
@@ -377,7 +458,8 @@
 void Placement::checkLinks() {
   m_checkTimer.callAfter(KeepAliveInterval / 2, [this] { checkLinks(); });
   const TimePoint Now = m_env.Clk.now();
-  updateShares();
+  dropLostClients(Now);
+  updateRoles();
   const auto Links = m_links;
   for (const auto &[Daemon, Target] : Links) {
     if (Target->failed() || Target->pendingRequests() == 0)
@@ -392,14 +474,15 @@
       m_env.Log.line(LogClass::Fault, "dispatcher.silent",
                      {{"daemon", Daemon},
                       {"owing", std::to_string(Target->pendingRequests())}});
-      reclaimRequests(Daemon);
+      onDispatcherLost(Daemon);
     }
   }
-  // Connect before the first request needs the link.
-  for (const auto &[Service, Dispatcher] : m_dispatchers)
-    if (const DaemonName DispatcherName = dispatcherOf(Service);
-        !DispatcherName.empty() && DispatcherName != m_env.Self)
-      linkTo(DispatcherName);
+  // Connect before the first request needs the link, and try the first choice
+  // again if another daemon dispatches in its place.
+  for (const auto &[Service, Current] : m_roles)
+    for (const DaemonName &Daemon : {Current.Dispatcher, Current.FirstChoice})
+      if (!Daemon.empty() && Daemon != m_env.Self)
+        linkTo(Daemon);
   if (Now - m_lastSummary >= SummaryInterval) {
     m_lastSummary = Now;
     logSummary();
@@ -414,7 +497,7 @@
 
 void Placement::logSummary() {
   for (const auto &[Service, Dispatcher] : m_dispatchers) {
-    if (dispatcherOf(Service) != m_env.Self)
+    if (!dispatches(Service))
       continue;
     const routing::DispatcherTotals &Totals = Dispatcher.totals();
     m_env.Log.line(LogClass::State, "dispatcher.summary",
@@ -443,16 +526,54 @@
 
 void Placement::onLinkFailed(const DaemonName &Daemon) {
   m_env.Log.line(LogClass::Fault, "dispatcher.lost", {{"daemon", Daemon}});
+  onDispatcherLost(Daemon);
+}
+
+void Placement::onDispatcherLost(const DaemonName &Daemon) {
+  m_lostDispatchers[Daemon] = m_env.Clk.now();
+  updateRoles();
   reclaimRequests(Daemon);
 }
 
+void Placement::onLinkResponsive(Link &Restored) {
+  m_lostDispatchers.erase(Restored.daemon());
+  updateRoles();
+  reportRunning(Restored);
+}
+
+void Placement::withdrawReport(RequestKey Key, const DaemonName &Former) {
+  const auto FormerLink = m_links.find(Former);
+  if (FormerLink != m_links.end() && FormerLink->second->connected())
+    FormerLink->second->send(
+        EndedReport{.Sequence = Key, .Outcome = ReplicaOutcome::Abandoned});
+}
+
+void Placement::dropLostClients(TimePoint Now) {
+  const TimePoint Previous = std::exchange(m_lastCheck, Now);
+  if (Previous != TimePoint{} && Now - Previous > StallTime)
+    m_catchingUpUntil = Now + CatchUpTime;
+  if (Now < m_catchingUpUntil)
+    return;
+  const auto Clients = m_clients;
+  for (const auto &[Number, Connected] : Clients) {
+    if (Connected->daemon().empty() || !m_env.IsLost(Connected->daemon()))
+      continue;
+    m_env.Log.line(
+        LogClass::Fault, "dispatcher.client_lost",
+        {{"daemon", Connected->daemon()},
+         {"requests", std::to_string(Connected->requests().size())}});
+    Connected->disconnect();
+  }
+}
+
 void Placement::reportRunning(Link &Target) {
   const TimePoint Now = m_env.Clk.now();
   for (auto &[Key, Local] : m_localRequests) {
     if (Local.RunningOn.empty() ||
         dispatcherOf(Local.Service) != Target.daemon())
       continue;
-    Local.Dispatcher = Target.daemon();
+    if (Local.Dispatcher != Target.daemon())
+      withdrawReport(Key, std::exchange(Local.Dispatcher, Target.daemon()));
     const routing::ModelRequest &Request = Local.Request;
     Target.send(PlaceRequest{.Sequence = Key,
                              .Service = Local.Service,
@@ -463,7 +584,8 @@
                              .Age = toMs(Now - Request.Arrived),
                              .Target = toMs(Request.FirstTokenTarget),
                              .RunningOn = Local.RunningOn,
-                             .Started = Local.Started});
+                             .Started = Local.Started,
+                             .Sender = m_env.Self});
   }
 }
 
@@ -485,7 +607,7 @@
     }
     const TimePoint Now = m_env.Clk.now();
     dispatcher(Local->second.Service)
-        .recordPlacement(Local->second.Request, Grant->Replica, Now);
+        .takeOver(Local->second.Request, Grant->Replica, false, Now);
     deliverLocally(Grant->Sequence,
                    {.Key = Grant->Sequence,
                     .Destination = Grant->Replica,
@@ -497,11 +619,11 @@
     Source.requestDecided();
     const auto Local = m_localRequests.find(Refusal->Sequence);
     if (Local != m_localRequests.end() && Local->second.Dispatcher == Daemon)
-      deliverLocally(
-          Refusal->Sequence,
-          {.Key = Refusal->Sequence,
-           .RetryAfter = Refusal->RetryAfter,
-           .Waited = m_env.Clk.now() - Local->second.Request.Arrived});
+      deliverLocally(Refusal->Sequence,
+                     {.Key = Refusal->Sequence,
+                      .RetryAfter = Refusal->RetryAfter,
+                      .Waited = m_env.Clk.now() - Local->second.Request.Arrived,
+                      .PredictedFirstToken = Refusal->PredictedFirstToken});
   }
 }
 
@@ -524,10 +646,9 @@
         .ReportDelay = Place->ReportDelay};
     routing::ModelDispatcher &Target = dispatcher(Place->Service);
     Requester.requests()[Place->Sequence] = Place->Service;
+    Requester.requested(*Place, Now);
     if (!Place->RunningOn.empty()) {
-      Target.recordPlacement(Request, Place->RunningOn, Now);
-      if (Place->Started)
-        Target.started(Key, Now);
+      Target.takeOver(Request, Place->RunningOn, Place->Started, Now);
       return;
     }
     Requester.changeWaiting(1);
@@ -626,4 +747,9 @@
       }));
 }
 
+std::size_t Placement::running(const std::string &Service) const {
+  const auto Entry = m_dispatchers.find(Service);
+  return Entry == m_dispatchers.end() ? 0 : Entry->second.running();
+}
+
 } // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/routing/engine_estimate.cpp
+++ b/src/nutmegdrift/routing/engine_estimate.cpp
@@ -97,19 +97,45 @@
                             std::uint32_t Fetched, Duration ReportDelay) {
   const std::uint32_t CachedOrFetched =
       std::min(cachedTokens(Prefix) + Fetched, PromptTokens);
-  const Duration Reading = timeToRead(PromptTokens - CachedOrFetched);
-  m_readingAllowance -= Reading;
+  const std::uint32_t ToRead = PromptTokens - CachedOrFetched;
+  m_readingAllowance -= timeToRead(ToRead);
+  addWaiting(Key, ToRead, Now, ReportDelay);
+  addRequest(Key, Prefix, std::uint64_t{PromptTokens} + OutputTokens, true,
+             Now);
+}
+
+void EngineEstimate::takenOver(RequestKey Key, const SharedPrefix &Prefix,
+                               std::uint32_t PromptTokens,
+                               std::uint32_t OutputTokens, bool Started,
+                               TimePoint Now, Duration ReportDelay) {
+  if (!Started)
+    addWaiting(Key, PromptTokens - std::min(cachedTokens(Prefix), PromptTokens),
+               Now, ReportDelay);
+  addRequest(Key, Prefix, std::uint64_t{PromptTokens} + OutputTokens, false,
+             Now);
+  if (Started)
+    m_memory.markRead(Prefix);
+}
+
+void EngineEstimate::addWaiting(RequestKey Key, std::uint32_t Tokens,
+                                TimePoint Now, Duration ReportDelay) {
   if (m_waiting.empty())
     m_busySince = Now;
   m_waiting.push_back({.Key = Key,
-                       .Tokens = PromptTokens - CachedOrFetched,
+                       .Tokens = Tokens,
                        .Placed = Now,
-                       .PredictedReading = backlog(Now) + Reading,
+                       .PredictedReading = backlog(Now) + timeToRead(Tokens),
                        .ReportDelay = ReportDelay});
-  const std::uint64_t RequestTokens =
-      std::uint64_t{PromptTokens} + OutputTokens;
-  m_requests[Key] = {.Tokens = RequestTokens, .Placed = Now, .Prefix = Prefix};
-  m_heldTokens += RequestTokens;
+}
+
+void EngineEstimate::addRequest(RequestKey Key, const SharedPrefix &Prefix,
+                                std::uint64_t Tokens, bool KnownStart,
+                                TimePoint Now) {
+  m_requests[Key] = {.Tokens = Tokens,
+                     .Placed = Now,
+                     .Prefix = Prefix,
+                     .KnownStart = KnownStart};
+  m_heldTokens += Tokens;
   m_memory.markUsed(Prefix);
   evict();
 }
@@ -178,9 +204,10 @@
   if (Placement == m_requests.end())
     return;
   m_heldTokens -= Placement->second.Tokens;
-  m_meanResidenceTime += std::chrono::duration_cast<Duration>(
-      ResidenceSmoothing *
-      (Now - Placement->second.Placed - m_meanResidenceTime));
+  if (Placement->second.KnownStart)
+    m_meanResidenceTime += std::chrono::duration_cast<Duration>(
+        ResidenceSmoothing *
+        (Now - Placement->second.Placed - m_meanResidenceTime));
   m_requests.erase(Placement);
   const auto Prompt = std::find_if(
       m_waiting.begin(), m_waiting.end(),
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -703,9 +703,9 @@
   return false;
 }
 
-void ModelDispatcher::recordPlacement(const ModelRequest &Request,
-                                      const ReplicaId &Destination,
-                                      TimePoint Now) {
+void ModelDispatcher::takeOver(const ModelRequest &Request,
+                               const ReplicaId &Destination, bool Started,
+                               TimePoint Now) {
   const auto Entry = m_engines.find(Destination);
   if (Entry == m_engines.end() || m_engineByRequest.contains(Request.Key))
     return;
@@ -716,9 +716,9 @@
         Holders.end())
       Holders.push_back(&Entry->second);
   }
-  Entry->second.Estimate.placed(Request.Key, Prefix, Request.PromptTokens,
-                                Request.OutputTokens, Now, 0,
-                                Request.ReportDelay);
+  Entry->second.Estimate.takenOver(Request.Key, Prefix, Request.PromptTokens,
+                                   Request.OutputTokens, Started, Now,
+                                   Request.ReportDelay);
   m_engineByRequest[Request.Key] = Destination;
 }
 
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -391,6 +391,29 @@
   }
 }
 
+// Prompts that were already read were charged to the reading allowance of their
+// engines and lowered the learned overhead, so a dispatcher that took over from
+// another one placed nothing for seconds.
+TEST_F(DispatcherFixture, ANewDispatcherPlacesAtOnceAfterTakingOver) {
+  constexpr int PerEngine = 12;
+  replicas(4);
+  std::vector<RequestKey> Taken;
+  for (int I = 0; I < 4 * PerEngine; ++I) {
+    const ModelRequest Running = request("w", 1, 1000, 10000);
+    Dispatcher.takeOver(Running, "r" + std::to_string(I % 4), true, Now);
+    Taken.push_back(Running.Key);
+  }
+  EXPECT_EQ(Dispatcher.running(), Taken.size());
+  Now += 10ms;
+  for (const RequestKey Key : Taken)
+    Dispatcher.ended(Key, ReplicaOutcome::Served, Now);
+  EXPECT_EQ(Dispatcher.running(), 0U);
+  EXPECT_EQ(Dispatcher.engine("r0")->overhead(),
+            EngineEstimate::InitialOverhead);
+  EXPECT_FALSE(Dispatcher.offer(request("w", 1, 1000, 5000), Now));
+  EXPECT_EQ(Dispatcher.pump(Now).size(), 1U);
+}
+
 TEST_F(DispatcherFixture, PlacesNothingOnReplicasThatFailed) {
   replicas(2);
   Dispatcher.offer(request("w"), Now);
