Survive malformed messages, unexpected errors and bytes without end

Found, each shown by a test that failed before: - One UDP datagram of nested msgpack arrays ended every nutmegd-platform that it reached: the library's reader recurses once per level and overflowed the stack (FleetMessages.DeepNestingIsMalformed crashed the test program). The bounded reader that the older daemon's wire module had moves to base and serves both. - An exception in any callback went through the event loop and ended the process. runGuarded logs and counts it and goes on; a stream whose listener throws ends like a reset one, a request whose handler throws is aborted, and the periodic timers are set before their work, so that they don't end (BrokenReplica.AnUnexpectedErrorEndsOnlyItsOwnRequest). - Times in messages of other daemons could overflow the clock's, and a weight that is no number made a daemon the dispatcher for good (FleetMessages.ValuesOutOfRangeAreLimitedOrMalformed). - Bytes without end (BrokenReplica.BytesWithoutEndAreCutOff). Seven of ten kinds were read until the deadline: interim heads, answers to nobody, a chunk extension, a chunk length, a trailer, an unsigned body and a failure's body; the last two and the chunk header also filled the memory (57 to 61 MB in the 1.5 s of the test's route). A part that is not parsed may now be 64 KB long, foreign answers 256 KB a request, an unsigned body 1 MB. The connection is closed, the attempt counts as failed, and a request that may be repeated goes elsewhere. The same for a caller's chunk header (BrokenReplica.ACallersBytesWithoutEndAreCutOff). - An HTTP/1.0 caller got chunked encoding, which it takes for the body. It gets a body that ends with the connection, and a reset if the answer breaks off (BrokenReplica, two tests).

Looked for and not found, with tests that stay: a late second answer on a connection in use again (40 calls each with the copy at once, after 1 ms and after 50 ms), a connection that carried unasked bytes used again, and a broken answer that looks complete (every offset of a small answer, with a length and in chunks, closed and reset).

--- a/include/nutmegdrift/gateway/fleet_beacon.h
+++ b/include/nutmegdrift/gateway/fleet_beacon.h
@@ -67,6 +67,8 @@
   [[nodiscard]] FleetView &view() { return m_view; }
 
 private:
+  struct ReceiveAgain;
+
   void tick();
   void receive();
   void sendAll();
--- a/include/nutmegdrift/gateway/gateway_metrics.h
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -32,6 +32,8 @@
   void desiredStateAge(double Seconds);
   void connectionsOpened(double Count);
   void logLinesSuppressed(double Count);
+  /// A callback of the event loop failed with an exception.
+  void unexpectedError();
 
   /// All metrics in the Prometheus text format.
   [[nodiscard]] std::string text() const;
--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -19,7 +19,8 @@
 /// no read buffer: all streams of a thread share one.
 ///
 /// The listener must outlive the stream or detach itself with close(). It is
-/// not called after close().
+/// not called after close(). If it throws while it handles data, its connection
+/// ends like a reset one, and the exception goes on to the event loop.
 class ByteStream : public std::enable_shared_from_this<ByteStream> {
 public:
   class Listener {
--- a/include/nutmegdrift/net/client_connection.h
+++ b/include/nutmegdrift/net/client_connection.h
@@ -23,6 +23,10 @@
     : public ByteStream::Listener,
       public std::enable_shared_from_this<ClientConnection> {
 public:
+  /// Bytes of other answers and interim heads that are read and dropped for one
+  /// request. With more the request fails, because they may come without end.
+  static constexpr std::size_t MaxForeignBytes = std::size_t{256} * 1024;
+
   /// Callbacks of one request. The last call is either OnEnd or OnFailure.
   struct Events {
     /// Whether the answer belongs to this request. Empty: always.
@@ -77,7 +81,8 @@
   const HostPort m_peer;
   std::shared_ptr<ByteStream> m_stream;
   std::unique_ptr<AnswerReader> m_reader; ///< Set while busy.
-  std::string m_unread; ///< Bytes that the reader has not consumed.
+  std::string m_unread;           ///< Bytes that the reader has not consumed.
+  std::size_t m_foreignBytes = 0; ///< Dropped for the current request.
   Events m_events;
   bool m_busy = false;
   /// The answer being read belongs to the request.
--- a/include/nutmegdrift/net/event_loop.h
+++ b/include/nutmegdrift/net/event_loop.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace nutmegdrift::net {
 
@@ -48,6 +49,11 @@
 /// that the system rejects are skipped.
 void tuneSocket(TcpSocket &Socket, const KeepAlive &Probes = {});
 
+/// Runs the loop until it is stopped. An exception of a callback is passed to
+/// OnError and the loop continues: it must not end what other callers wait for.
+void runGuarded(EventLoop &Loop,
+                const std::function<void(const std::string &Cause)> &OnError);
+
 /// The TCP endpoint of an address, or nothing if its host is no IP address.
 std::optional<boost::asio::ip::tcp::endpoint>
 tcpEndpoint(const HostPort &Address);
--- a/include/nutmegdrift/net/http_message.h
+++ b/include/nutmegdrift/net/http_message.h
@@ -56,6 +56,7 @@
   HeaderList Headers;
   std::string Body;
   bool KeepAlive = true;
+  bool Http10 = false; ///< The sender can't read chunked encoding.
 };
 
 /// The head of an answer.
@@ -67,6 +68,11 @@
   bool Chunked = false;
 };
 
+/// Bytes that a reader may leave unread while it waits for the end of a part,
+/// such as a chunk's header with its extensions. A message with a longer part
+/// is malformed.
+inline constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
+
 /// Size limits of a caller's request.
 struct HttpLimits {
   std::uint32_t MaxHeaderBytes = 16384;
--- /dev/null
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -0,0 +1,250 @@
+// Replicas that send late, endless, broken or foreign bytes, and callers that
+// do, on real connections. Each test names the failure that it guards against.
+#include "gateway_fixture.h"
+
+namespace nutmegdrift::gateway {
+namespace {
+
+using testing::AfterReply;
+using testing::fieldOf;
+using testing::RawReply;
+
+/// A complete answer to Request with its id as the body.
+std::string answerTo(const std::string &Request) {
+  const std::string Id = fieldOf(Request, "Id");
+  return "HTTP/1.1 200 OK\r\nSig: x\r\nId: " + Id +
+         "\r\nContent-Length: " + std::to_string(Id.size()) + "\r\n\r\n" + Id;
+}
+
+/// The head of an answer to Request, without its last empty line.
+std::string headOf(const std::string &Request) {
+  return "HTTP/1.1 200 OK\r\nSig: x\r\nId: " + fieldOf(Request, "Id") + "\r\n";
+}
+
+struct BrokenReplica : GatewayFixture {
+  BrokenReplica() { apply(); }
+
+  /// Most bytes that may be read of something that is no answer, with what the
+  /// sockets of both sides buffer.
+  static constexpr std::uint64_t MaxForeignBytes = std::uint64_t{16} << 20U;
+};
+
+// A server sent a second copy of an answer, and the next caller on the
+// connection got an answer that wasn't its own.
+TEST_F(BrokenReplica, ALateSecondAnswerReachesNoOtherCaller) {
+  for (const Duration Delay : {Duration(0ms), Duration(1ms), Duration(50ms)}) {
+    auto &Only = rawReplica([Delay](const std::string &Request) {
+      return RawReply{.Bytes = answerTo(Request),
+                      .Late = answerTo(Request),
+                      .LateAfter = Delay};
+    });
+    for (int I = 0; I < 40; ++I) {
+      const std::string Id =
+          "call-" + std::to_string(Delay.count()) + "-" + std::to_string(I);
+      const Answer Received = call("/safe/x", {{"Id", Id}});
+      EXPECT_EQ(Received.Status, 200);
+      EXPECT_EQ(Received.Body, Id);
+    }
+    EXPECT_GE(Only.Requests, 40);
+    Daemon->state().Replicas.remove("raw" + std::to_string(RawReplicas.size()),
+                                    std::nullopt);
+    Daemon->replicasChanged();
+  }
+}
+
+// A second answer that arrives together with the first leaves the connection
+// unusable, even though it could be skipped by its id.
+TEST_F(BrokenReplica, AConnectionWithUnaskedBytesIsNotUsedAgain) {
+  auto &Only = rawReplica([](const std::string &Request) {
+    return RawReply{.Bytes = answerTo(Request) + answerTo(Request)};
+  });
+  for (int I = 0; I < 5; ++I)
+    EXPECT_EQ(call("/safe/x").Status, 200);
+  EXPECT_EQ(Only.Connections, 5);
+}
+
+struct EndlessCase {
+  const char *Name;
+  std::function<RawReply(const std::string &)> Reply;
+};
+
+// Bytes that are no answer came without end, and the daemon read them until
+// its memory was full or the caller's deadline.
+TEST_F(BrokenReplica, BytesWithoutEndAreCutOff) {
+  const std::string Kilobyte(1024, 'x');
+  const EndlessCase Cases[] = {
+      {"noise",
+       [&](const std::string &) { return RawReply{.Endless = Kilobyte}; }},
+      {"a head without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = headOf(Request) + "Long: ",
+                         .Endless = Kilobyte};
+       }},
+      {"header lines without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = headOf(Request),
+                         .Endless = "More: " + Kilobyte + "\r\n"};
+       }},
+      {"interim heads without end",
+       [&](const std::string &) {
+         return RawReply{.Endless = "HTTP/1.1 102 Processing\r\n\r\n"};
+       }},
+      {"answers to nobody without end",
+       [&](const std::string &) {
+         return RawReply{.Endless = "HTTP/1.1 200 OK\r\nId: other\r\n"
+                                    "Content-Length: 1024\r\n\r\n" +
+                                    Kilobyte};
+       }},
+      {"a chunk extension without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = headOf(Request) +
+                                  "Transfer-Encoding: chunked\r\n\r\n4;ext=",
+                         .Endless = Kilobyte};
+       }},
+      {"a chunk length without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = headOf(Request) +
+                                  "Transfer-Encoding: chunked\r\n\r\n",
+                         .Endless = std::string(1024, '0')};
+       }},
+      {"a trailer without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = headOf(Request) +
+                                  "Transfer-Encoding: chunked\r\n\r\n"
+                                  "4\r\ndata\r\n0\r\n",
+                         .Endless = "More: " + Kilobyte + "\r\n"};
+       }},
+      {"an unsigned body without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = "HTTP/1.1 200 OK\r\nId: " +
+                                  fieldOf(Request, "Id") + "\r\n\r\n",
+                         .Endless = Kilobyte};
+       }},
+      {"a failure's body without end",
+       [&](const std::string &Request) {
+         return RawReply{.Bytes = "HTTP/1.1 500 Failed\r\nId: " +
+                                  fieldOf(Request, "Id") + "\r\n\r\n",
+                         .Endless = Kilobyte};
+       }},
+  };
+  for (const EndlessCase &Case : Cases) {
+    SCOPED_TRACE(Case.Name);
+    auto &Only = rawReplica(Case.Reply);
+    const Answer Received = call("/once/x");
+    EXPECT_EQ(Received.Status, 502) << Received.Body;
+    runUntil([&] { return Only.openConnections() == 0; });
+    EXPECT_EQ(Only.openConnections(), 0U);
+    EXPECT_LT(Only.BytesWritten, MaxForeignBytes);
+    Daemon->state().Replicas.remove("raw" + std::to_string(RawReplicas.size()),
+                                    std::nullopt);
+    Daemon->replicasChanged();
+  }
+}
+
+// The caller of a request that may be repeated must not wait for the end of
+// bytes that have none.
+TEST_F(BrokenReplica, ARepeatableRequestGoesElsewhere) {
+  rawReplica([](const std::string &) {
+    return RawReply{.Endless = std::string(1024, 'x')};
+  });
+  replica(answerDone);
+  for (int I = 0; I < 4; ++I)
+    EXPECT_EQ(call("/safe/x").Status, 200);
+}
+
+// A broken answer looked like a complete success.
+TEST_F(BrokenReplica, AnAnswerThatBreaksOffAnywhereIsNoSuccess) {
+  const std::string Body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const std::string Heads[] = {
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n"};
+  for (const std::string &Framing : Heads) {
+    const bool Chunked = Framing.starts_with("Transfer");
+    const std::string Framed =
+        Chunked ? "1e\r\n" + Body + "\r\n0\r\n\r\n" : Body;
+    ASSERT_EQ(Body.size(), 0x1EU);
+    for (const AfterReply Then : {AfterReply::Close, AfterReply::Reset})
+      for (std::size_t Sent = 0; Sent < Framed.size(); ++Sent) {
+        auto &Only = rawReplica([&, Sent](const std::string &Request) {
+          return RawReply{.Bytes = headOf(Request) + Framing +
+                                   Framed.substr(0, Sent),
+                          .Then = Then};
+        });
+        const Answer Received = call("/stream/x");
+        EXPECT_TRUE(Received.Failure || Received.Status >= 500)
+            << (Chunked ? "chunked" : "length") << " cut at " << Sent;
+        EXPECT_EQ(Only.Requests, 1);
+        Daemon->state().Replicas.remove(
+            "raw" + std::to_string(RawReplicas.size()), std::nullopt);
+        Daemon->replicasChanged();
+        RawReplicas.pop_back();
+      }
+  }
+}
+
+// An HTTP/1.0 caller can't read chunks, and took the chunk sizes for the body.
+TEST_F(BrokenReplica, AnHttp10CallerGetsABodyThatEndsWithTheConnection) {
+  rawReplica([](const std::string &Request) {
+    return RawReply{.Bytes = headOf(Request) +
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "4\r\ndata\r\n0\r\n\r\n"};
+  });
+  const std::string Text =
+      rawCall("GET /stream/x HTTP/1.0\r\nHost: h\r\nId: i\r\n\r\n");
+  EXPECT_EQ(Text.find("Transfer-Encoding"), std::string::npos) << Text;
+  EXPECT_TRUE(Text.ends_with("\r\n\r\ndata")) << Text;
+  EXPECT_EQ(RawEnd, net::StreamEnd::Closed);
+}
+
+TEST_F(BrokenReplica, ABrokenAnswerToAnHttp10CallerEndsWithAReset) {
+  rawReplica([](const std::string &Request) {
+    return RawReply{.Bytes = headOf(Request) +
+                             "Transfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n",
+                    .Then = AfterReply::Close};
+  });
+  rawCall("GET /stream/x HTTP/1.0\r\nHost: h\r\nId: i\r\n\r\n");
+  EXPECT_EQ(RawEnd, net::StreamEnd::Reset);
+}
+
+// An exception in the handling of one request went through the event loop and
+// ended the process.
+TEST_F(BrokenReplica, AnUnexpectedErrorEndsOnlyItsOwnRequest) {
+  replica(answerDone);
+  EXPECT_EQ(call("/safe/x").Status, 200);
+  int Errors = 0;
+  net::Timer StopTimer(Loop);
+  StopTimer.callAfter(200ms, [this] { Loop.stop(); });
+  struct IgnoringCaller final : net::ByteStream::Listener {
+    void onData(std::string_view) override {}
+    void onEnd(net::StreamEnd Reason) override { Ended = Reason; }
+    std::optional<net::StreamEnd> Ended;
+  } Broken;
+  const auto Stream = std::make_shared<net::ByteStream>(Loop, Broken);
+  Stream->write("GET /safe/x HTTP/1.1\r\nHost: h\r\nId: i\r\n"
+                "Throw: 1\r\n\r\n");
+  Stream->connect(Settings.Front, 1s);
+  net::runGuarded(Loop, [&](const std::string &) { ++Errors; });
+  Loop.restart();
+  EXPECT_EQ(Errors, 1);
+  EXPECT_TRUE(Broken.Ended);
+  Stream->close();
+  EXPECT_EQ(call("/safe/x").Status, 200);
+  EXPECT_NE(call("/ready", {}, Settings.Readiness).Status, 0);
+}
+
+// A caller could fill the daemon's memory with a chunk extension.
+TEST_F(BrokenReplica, ACallersBytesWithoutEndAreCutOff) {
+  for (const char *Start :
+       {"", "POST /once/x HTTP/1.1\r\nHost: h\r\nLong: ",
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n4;ext="}) {
+    SCOPED_TRACE(Start);
+    RawSent = 0;
+    const std::string Text = rawCall(Start, std::string(4096, 'x'));
+    EXPECT_TRUE(Text.starts_with("HTTP/1.1 4")) << Text.substr(0, 100);
+    EXPECT_LT(RawSent, MaxForeignBytes);
+  }
+}
+
+} // namespace
+} // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -165,11 +165,13 @@
   m_bodyBytes += Body.size();
   if (!m_passThrough) {
     m_body.append(Body);
-    if (m_body.size() > MaxHeldAnswerBytes && !m_streaming &&
-        m_answerMetadata.Signed)
-      m_passThrough = true;
-    else
+    if (m_body.size() <= MaxHeldAnswerBytes)
       return;
+    if (m_streaming || !m_answerMetadata.Signed) {
+      attemptFailed(ReplicaOutcome::Failed, "too-long");
+      return;
+    }
+    m_passThrough = true;
   }
   if (!m_streaming)
     beginStream();
--- a/src/nutmegdrift/gateway/fleet_beacon.cpp
+++ b/src/nutmegdrift/gateway/fleet_beacon.cpp
@@ -63,9 +63,9 @@
 }
 
 void FleetBeacon::tick() {
+  m_timer.callAfter(HeartbeatInterval, [this] { tick(); });
   sendAll();
   m_view.removeExpired(m_clock.now());
-  m_timer.callAfter(HeartbeatInterval, [this] { tick(); });
 }
 
 void FleetBeacon::sendNow() { sendAll(); }
@@ -108,12 +108,19 @@
                    Ignored);
 }
 
+/// Continues to receive even if a heartbeat could not be handled.
+struct FleetBeacon::ReceiveAgain {
+  FleetBeacon &Owner;
+  ~ReceiveAgain() { Owner.receive(); }
+};
+
 void FleetBeacon::receive() {
   m_socket.async_wait(
       udp::socket::wait_read,
       [this](const boost::system::error_code &WaitError) {
         if (WaitError == boost::asio::error::operation_aborted)
           return;
+        const ReceiveAgain OnReturn{*this};
         for (int I = 0; I < MaxHeartbeatsPerTurn; ++I) {
           udp::endpoint Sender;
           boost::system::error_code ReadError;
@@ -145,7 +152,6 @@
           m_view.record(*Value, Now);
           m_hooks.OnHeartbeat(*Value);
         }
-        receive();
       });
 }
 
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -1,8 +1,13 @@
 // Encoding of the messages between daemons as msgpack arrays.
 #include "nutmegdrift/gateway/fleet_messages.h"
 
+#include "nutmegdrift/base/msgpack_reader.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace nutmegdrift::gateway {
 
 namespace {
@@ -24,6 +29,13 @@
           .Port = Value.at(1).get<std::uint16_t>()};
 }
 
+/// A length of time of another daemon, limited so that times computed from it
+/// can't overflow.
+Milliseconds decodeTime(const json &Value) {
+  constexpr Milliseconds MaxTime = std::chrono::hours(365 * 24);
+  return std::clamp(Milliseconds(Value.get<std::int64_t>()), -MaxTime, MaxTime);
+}
+
 json toJson(const std::vector<routing::PromptPart> &Prompt) {
   json Out = json::array();
   for (const routing::PromptPart &Part : Prompt) {
@@ -53,7 +65,10 @@
 
 RolloutOutcome decodeRolloutOutcome(const json &V) {
   const auto Time = [&](std::size_t Index) {
-    return std::chrono::microseconds(V.at(Index).get<std::int64_t>());
+    constexpr std::chrono::microseconds MaxTime = std::chrono::hours(24);
+    return std::clamp(
+        std::chrono::microseconds(V.at(Index).get<std::int64_t>()), -MaxTime,
+        MaxTime);
   };
   return {.Service = V.at(0).get<std::string>(),
           .Version = V.at(1).get<std::string>(),
@@ -73,7 +88,7 @@
   return {.Service = V.at(0).get<std::string>(),
           .Version = V.at(1).get<std::string>(),
           .Stage = static_cast<RolloutStage>(Stage),
-          .Elapsed = Milliseconds(V.at(3).get<std::int64_t>())};
+          .Elapsed = decodeTime(V.at(3))};
 }
 
 // Fields appended to a message are optional for its receiver, and older
@@ -133,14 +148,14 @@
           .Prompt = decodePromptParts(V.at(4)),
           .PromptTokens = V.at(5).get<std::uint32_t>(),
           .OutputTokens = V.at(6).get<std::uint32_t>(),
-          .Age = Milliseconds(V.at(7).get<std::int64_t>()),
-          .Target = Milliseconds(V.at(8).get<std::int64_t>()),
-          .RemainingWait = Milliseconds(V.at(9).get<std::int64_t>()),
+          .Age = decodeTime(V.at(7)),
+          .Target = decodeTime(V.at(8)),
+          .RemainingWait = decodeTime(V.at(9)),
           .Tried = V.at(10).get<std::vector<std::string>>(),
           .RunningOn = V.at(11).get<std::string>(),
           .Started = V.at(12).get<bool>(),
           .Repeated = V.at(13).get<bool>(),
-          .ReportDelay = Milliseconds(V.at(14).get<std::int64_t>()),
+          .ReportDelay = decodeTime(V.at(14)),
           .Sender = optionalField<std::string>(V, 15)};
 }
 
@@ -152,8 +167,7 @@
     return WithdrawRequest{.Sequence = V.at(1).get<std::uint64_t>()};
   case 2:
     return StartedReport{.Sequence = V.at(1).get<std::uint64_t>(),
-                         .TimeToFirstEvent =
-                             Milliseconds(V.at(2).get<std::int64_t>())};
+                         .TimeToFirstEvent = decodeTime(V.at(2))};
   case 3: {
     const int Outcome = V.at(2).get<int>();
     if (Outcome < 0 ||
@@ -169,9 +183,10 @@
                       .FetchFrom = V.at(3).get<std::string>()};
   case 5:
     return PlaceRefusal{.Sequence = V.at(1).get<std::uint64_t>(),
-                        .RetryAfter = Milliseconds(V.at(2).get<std::int64_t>()),
-                        .PredictedFirstToken =
-                            Milliseconds(optionalField<std::int64_t>(V, 3))};
+                        .RetryAfter = decodeTime(V.at(2)),
+                        .PredictedFirstToken = V.size() > 3
+                                                   ? decodeTime(V.at(3))
+                                                   : Milliseconds(0)};
   case 6:
     return DispatcherKeepAlive{};
   default:
@@ -223,7 +238,10 @@
 
 std::optional<Heartbeat> decodeHeartbeat(std::string_view Bytes) {
   try {
-    const json V = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const auto Read = readMsgpack(Bytes);
+    if (!Read)
+      return std::nullopt;
+    const json &V = *Read;
     if (V.at(0).get<int>() != FormatVersion)
       return std::nullopt;
     Heartbeat B{.Daemon = V.at(1).get<std::string>(),
@@ -234,8 +252,10 @@
                 .Stopping = V.at(6).get<bool>(),
                 .Weight = V.at(7).get<double>(),
                 .StateVersion = V.at(8).get<std::uint64_t>(),
-                .StateAge = Milliseconds(V.at(9).get<std::int64_t>()),
+                .StateAge = decodeTime(V.at(9)),
                 .Revisions = V.at(10).get<std::vector<std::uint64_t>>()};
+    if (!std::isfinite(B.Weight) || B.Weight < 0.0)
+      return std::nullopt;
     for (const json &Entry : V.at(11))
       B.Peers.push_back(decodeHostPort(Entry));
     for (const json &Entry : V.at(12))
@@ -277,7 +297,11 @@
   try {
     const auto Begin = Buffer.begin() + LengthBytes;
     const auto End = Begin + static_cast<std::ptrdiff_t>(Length);
-    auto Message = decodeMessage(json::from_msgpack(Begin, End));
+    const auto Read = readMsgpack({Begin, End});
+    Malformed = !Read;
+    if (!Read)
+      return std::nullopt;
+    auto Message = decodeMessage(*Read);
     Buffer.erase(Buffer.begin(), End);
     return Message;
   } catch (const std::exception &) {
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -368,6 +368,8 @@
 }
 
 void Gateway::tick() {
+  // Set first, so that an exception below doesn't end the ticks.
+  m_tickTimer.callAfter(StateFreshness::TickInterval, [this] { tick(); });
   const TimePoint Now = m_clock.now();
   m_lag.tick(Now);
   m_placement.setLag(m_lag.mean());
@@ -398,7 +400,6 @@
   }
   if (m_state.Stopping)
     checkStopped();
-  m_tickTimer.callAfter(StateFreshness::TickInterval, [this] { tick(); });
 }
 
 void Gateway::stop() {
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -1,8 +1,6 @@
 // Tests of a gateway's parts without I/O, and of complete calls between a raw
 // caller and a scripted replica on real sockets.
-#include "nutmegdrift/gateway/gateway.h"
-
-#include "support/child_process.h"
+#include "gateway_fixture.h"
 
 #include <gtest/gtest.h>
 
@@ -128,6 +126,33 @@
   EXPECT_TRUE(Malformed);
 }
 
+// The library's msgpack reader recurses once per level: one datagram of nested
+// arrays overflowed the stack of every daemon that it reached.
+TEST(FleetMessages, DeepNestingIsMalformed) {
+  EXPECT_FALSE(decodeHeartbeat(std::string(65000, '\x91')));
+  const std::string Nested(1000000, '\x91');
+  std::string Buffer;
+  for (const unsigned Shift : {24U, 16U, 8U, 0U})
+    Buffer += static_cast<char>((Nested.size() >> Shift) & 0xFFU);
+  Buffer += Nested;
+  bool Malformed = false;
+  EXPECT_FALSE(decodeFrame(Buffer, Malformed));
+  EXPECT_TRUE(Malformed);
+}
+
+// A time that overflows when it is added to the clock's is undefined behaviour,
+// and a weight that is no number would make a daemon the dispatcher for good.
+TEST(FleetMessages, ValuesOutOfRangeAreLimitedOrMalformed) {
+  std::string Buffer =
+      encodeFrame(PlaceRequest{.Sequence = 1, .Age = Milliseconds::max()});
+  bool Malformed = false;
+  const auto Decoded = decodeFrame(Buffer, Malformed);
+  ASSERT_TRUE(Decoded);
+  EXPECT_LT(std::get<PlaceRequest>(*Decoded).Age, std::chrono::hours(10000));
+  Heartbeat Invalid{.Daemon = "d", .Weight = std::nan("")};
+  EXPECT_FALSE(decodeHeartbeat(encode(Invalid)));
+}
+
 /// Six old and six new replicas of a service, and an order for a rollout.
 class Rollouts : public ::testing::Test {
 protected:
@@ -351,208 +376,6 @@
   EXPECT_EQ(chooseDispatcher("s", {}), "");
 }
 
-/// A dialect with short header names, independent of any platform.
-class PlainDialect final : public Dialect {
-public:
-  Result<RequestMetadata>
-  readRequest(const net::HeaderList &Headers) const override {
-    RequestMetadata Metadata;
-    const auto Id = Headers.find("Id");
-    if (!Id)
-      return fail(ErrorKind::MalformedRequest, "no id");
-    Metadata.Id = *Id;
-    Metadata.Key = std::string(Headers.find("Key").value_or(""));
-    if (const auto Tokens = Headers.find("Tokens")) {
-      Metadata.PromptTokens =
-          static_cast<std::uint32_t>(std::stoul(std::string(*Tokens)));
-      Metadata.OutputTokens = 10;
-      Metadata.Prompt = {{.Id = 1, .Tokens = Metadata.PromptTokens}};
-    }
-    return Metadata;
-  }
-  net::HeaderList forward(const net::HeaderList &Received,
-                          const ForwardMetadata &Metadata) const override {
-    net::HeaderList Out = net::endToEndFields(Received);
-    Out.set("Replica", Metadata.Replica);
-    if (Metadata.Workspace)
-      Out.set("Workspace", *Metadata.Workspace);
-    if (!Metadata.ResumeAfter.empty())
-      Out.set("After", Metadata.ResumeAfter);
-    return Out;
-  }
-  AnswerMetadata readAnswer(const net::HttpAnswerHead &Head) const override {
-    return {.Id = std::string(Head.Headers.find("Id").value_or("")),
-            .NotRun = Head.Headers.find("Not-Run").has_value(),
-            .Signed = Head.Headers.find("Sig").has_value()};
-  }
-  net::HeaderList answerHeaders(const net::HeaderList &Headers) const override {
-    return net::endToEndFields(Headers);
-  }
-  std::string_view directoryPath() const override { return "/where"; }
-  std::string directoryBody(const std::vector<HostPort> &Addresses,
-                            std::chrono::seconds) const override {
-    std::string Out;
-    for (const HostPort &Address : Addresses)
-      Out += toString(Address) + "\n";
-    return Out;
-  }
-  std::string_view readinessPath() const override { return "/ready"; }
-};
-
-/// A replica that handles each request with a function of the test.
-class ScriptedReplica {
-public:
-  using Reaction = std::function<void(net::ServerExchange &)>;
-
-  ScriptedReplica(net::EventLoop &Loop, const Clock &Clk,
-                  const Reaction &OnRequest)
-      : m_server(Loop, Clk,
-                 [this, OnRequest](
-                     const std::shared_ptr<net::ServerExchange> &Exchange) {
-                   ++Requests;
-                   LastHeaders = Exchange->request().Headers;
-                   Exchanges.push_back(Exchange);
-                   OnRequest(*Exchange);
-                 }) {
-    EXPECT_TRUE(m_server.listen({.Host = "127.0.0.1", .Port = 0}));
-  }
-  HostPort address() const {
-    return {.Host = "127.0.0.1", .Port = m_server.port()};
-  }
-
-  int Requests = 0;
-  net::HeaderList LastHeaders;
-  std::vector<std::shared_ptr<net::ServerExchange>> Exchanges;
-
-private:
-  net::HttpServer m_server;
-};
-
-struct GatewayFixture : ::testing::Test {
-  GatewayFixture() {
-    auto Port = [&] {
-      return HostPort{.Host = "127.0.0.1",
-                      .Port = nutmegdrift::testing::freePort()};
-    };
-    Settings = {.Name = "d1",
-                .Zone = "z",
-                .Front = Port(),
-                .Readiness = Port(),
-                .Directory = Port(),
-                .Internal = Port(),
-                .Metrics = Port(),
-                .Store = Port()};
-    Settings.Bounds.RetryFloor = 100;
-    Daemon.emplace(Loop, Clk, Log, Settings, Headers,
-                   Gateway::Hooks{.OnStopped = [this] { Stopped = true; }});
-    EXPECT_FALSE(errorOf([&] { return Daemon->start(); }));
-  }
-
-  routing::Route route(const std::string &Prefix, routing::RequestKind Kind,
-                       unsigned Replicas = 2) {
-    return {.Name = Prefix,
-            .Host = "h",
-            .PathPrefix = Prefix,
-            .Kind = Kind,
-            .Timeout = 1500ms,
-            .FirstByteTarget = 100ms,
-            .Shares = {{"s", 1}},
-            .MaxReplicas = Replicas};
-  }
-  void apply(std::uint64_t Version = 1,
-             std::vector<routing::Workspace> Workspaces = {}) {
-    using routing::RequestKind;
-    Daemon->setDesiredState(
-        {.Version = Version,
-         .Routes = {route("/safe/", RequestKind::Idempotent),
-                    route("/once/", RequestKind::RunOnce),
-                    route("/stream/", RequestKind::Stream),
-                    route("/resume/", RequestKind::ResumableStream)},
-         .Services = {{.Name = "s"}},
-         .Workspaces = std::move(Workspaces)});
-  }
-  ScriptedReplica &replica(const ScriptedReplica::Reaction &OnRequest) {
-    Replicas.push_back(std::make_unique<ScriptedReplica>(Loop, Clk, OnRequest));
-    Daemon->state().Replicas.upsert(
-        {.Id = "r" + std::to_string(Replicas.size()),
-         .Service = "s",
-         .Address = Replicas.back()->address(),
-         .Zone = "z"},
-        Clk.now());
-    Daemon->replicasChanged();
-    return *Replicas.back();
-  }
-  static void answerDone(net::ServerExchange &Exchange) {
-    Exchange.answer(200, answerHeaders(Exchange), "done");
-  }
-  static net::HeaderList answerHeaders(net::ServerExchange &Exchange) {
-    return {
-        {"Id", std::string(Exchange.request().Headers.find("Id").value_or(""))},
-        {"Sig", "x"}};
-  }
-
-  struct Answer {
-    int Status = 0;
-    std::string Body;
-    net::HeaderList Headers;
-    std::optional<net::ClientFailure> Failure;
-  };
-  Answer call(const std::string &Path, net::HeaderList Extra = {},
-              const std::optional<HostPort> &Address = std::nullopt) {
-    Answer Received;
-    bool Done = false;
-    Caller = std::make_shared<net::ClientConnection>(
-        Loop, Clk, Address.value_or(Settings.Front));
-    net::HttpRequest Request{.Method = "GET", .Target = Path};
-    Request.Headers = std::move(Extra);
-    Request.Headers.add("Host", "h");
-    if (!Request.Headers.find("Id"))
-      Request.Headers.add("Id", "id" + std::to_string(++LastId));
-    Caller->send(
-        net::serialise(Request), 1s,
-        {.OnHead =
-             [&](const net::HttpAnswerHead &Head) {
-               Received.Status = Head.Status;
-               Received.Headers = Head.Headers;
-             },
-         .OnBody = [&](std::string_view B) { Received.Body.append(B); },
-         .OnEnd = [&] { Done = true; },
-         .OnFailure =
-             [&](net::ClientFailure Failure) {
-               Received.Failure = Failure;
-               Done = true;
-             }});
-    runUntil([&] { return Done; });
-    EXPECT_TRUE(Done);
-    Caller->close();
-    return Received;
-  }
-  void runUntil(const std::function<bool()> &Condition) {
-    const auto End = std::chrono::steady_clock::now() + 8s;
-    while (!Condition() && std::chrono::steady_clock::now() < End)
-      Loop.run_one_for(20ms);
-  }
-
-  net::EventLoop Loop{1};
-  SystemClock Clk;
-  std::vector<std::string> Lines;
-  DecisionLog Log{Clk,
-                  "d1",
-                  {.RequestLines = 1e6, .StateLines = 1e6, .FaultLines = 1e6},
-                  [this](std::string_view Line) {
-                    Lines.emplace_back(Line);
-                    return true;
-                  }};
-  PlainDialect Headers;
-  GatewaySettings Settings;
-  std::vector<std::unique_ptr<ScriptedReplica>> Replicas;
-  std::optional<Gateway> Daemon;
-  std::shared_ptr<net::ClientConnection> Caller;
-  int LastId = 0;
-  std::vector<std::unique_ptr<net::Timer>> Timers;
-  bool Stopped = false;
-};
-
 TEST_F(GatewayFixture, ForwardsACompleteAnswer) {
   apply();
   auto &Only = replica(answerDone);
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -114,7 +114,12 @@
                                             : StreamEnd::Reset);
       return;
     }
-    m_listener->onData({Buffer.data(), Count});
+    try {
+      m_listener->onData({Buffer.data(), Count});
+    } catch (...) {
+      end(StreamEnd::Reset);
+      throw;
+    }
     if (Count < Buffer.size())
       break;
   }
--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -53,6 +53,7 @@
   m_headOnly = HeadOnly;
   ++m_requests;
   m_sentAt = m_clock.now();
+  m_foreignBytes = 0;
   startAnswer();
   if (!m_stream) {
     m_stream = std::make_shared<ByteStream>(m_loop, *this);
@@ -136,7 +137,11 @@
     Data.remove_prefix(Used);
     if (!m_busy)
       return;
-    if (m_reader->failed()) {
+    if (!m_answerMatches)
+      m_foreignBytes += Used;
+    const bool TooMuch = m_foreignBytes > MaxForeignBytes ||
+                         (!m_reader->done() && Data.size() > MaxUnparsedBytes);
+    if (m_reader->failed() || TooMuch) {
       m_stream->close();
       failRequest(ClientFailure::Malformed);
       return;
--- a/src/nutmegdrift/net/event_loop.cpp
+++ b/src/nutmegdrift/net/event_loop.cpp
@@ -43,6 +43,18 @@
       static_cast<int>(std::chrono::milliseconds(Total).count()));
 }
 
+void runGuarded(EventLoop &Loop,
+                const std::function<void(const std::string &Cause)> &OnError) {
+  for (;;) {
+    try {
+      Loop.run();
+      return;
+    } catch (const std::exception &Caught) {
+      OnError(Caught.what());
+    }
+  }
+}
+
 std::optional<boost::asio::ip::tcp::endpoint>
 tcpEndpoint(const HostPort &Address) {
   boost::system::error_code Bad;
--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -98,8 +98,10 @@
     body_limit(Limits.MaxBodyBytes);
   }
 
-  void on_request_impl(http::verb, Text Method, Text Target, int,
+  void on_request_impl(http::verb, Text Method, Text Target, int Version,
                        ErrorCode &) override {
+    constexpr int Http11 = 11;
+    Request.Http10 = Version < Http11;
     Request.Method = std::string(Method);
     Request.Target = std::string(Target);
   }
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -79,6 +79,7 @@
   [[nodiscard]] bool closeAfterAnswer() const {
     return m_server.m_draining || !m_keepAlive;
   }
+  void closeAfterThisAnswer() { m_keepAlive = false; }
   ByteStream &stream() { return *m_stream; }
 
   void onAnswered() {
@@ -137,6 +138,10 @@
       dispatch();
       return;
     }
+    if (m_in.size() > MaxUnparsedBytes) {
+      sendError(400, "malformed request\n");
+      return;
+    }
     if (HadHeader || !m_reader->headerDone())
       return;
     m_timer.callAfter(m_server.m_options.RequestTimeout,
@@ -158,7 +163,12 @@
     ++m_server.m_active;
     // The handler may answer immediately, which resets m_exchange.
     const auto Exchange = m_exchange;
-    m_server.m_handler(Exchange);
+    try {
+      m_server.m_handler(Exchange);
+    } catch (...) {
+      Exchange->abort();
+      throw;
+    }
   }
 
   void timedOut() { sendError(408, "request not received in time\n"); }
@@ -223,11 +233,13 @@
   if (!Connection || m_done)
     return;
   m_begun = true;
-  m_chunked = !Length;
+  m_chunked = !Length && !m_request.Http10;
   if (Length)
     Headers.add("Content-Length", std::to_string(*Length));
-  else
+  else if (m_chunked)
     Headers.add("Transfer-Encoding", "chunked");
+  else
+    Connection->closeAfterThisAnswer();
   if (Connection->closeAfterAnswer())
     Headers.add("Connection", "close");
   Connection->stream().write(serialiseHead(Status, Headers));
--- a/src/nutmegdrift/wire/messages.cpp
+++ b/src/nutmegdrift/wire/messages.cpp
@@ -1,5 +1,7 @@
 #include "nutmegdrift/wire/messages.h"
 
+#include "nutmegdrift/base/msgpack_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -333,62 +335,6 @@
       Members<T>::List);
 }
 
-/// Builds arrays of scalars and refuses deep nesting. The library's own
-/// from_msgpack recurses once per level, so 1 MiB of nested arrays would
-/// overflow the stack.
-class BoundedBuilder {
-public:
-  Json takeRoot() { return std::move(m_root); }
-
-  bool null() { return add(nullptr); }
-  bool boolean(bool Value) { return add(Value); }
-  bool number_integer(Json::number_integer_t Value) { // NOLINT
-    return add(Value);
-  }
-  bool number_unsigned(Json::number_unsigned_t Value) { // NOLINT
-    return add(Value);
-  }
-  bool number_float(Json::number_float_t Value, // NOLINT
-                    const Json::string_t & /*Text*/) {
-    return add(Value);
-  }
-  bool string(Json::string_t &Value) { return add(std::move(Value)); }
-  bool binary(Json::binary_t & /*Value*/) { return false; }
-  bool start_object(std::size_t /*Size*/) { return false; } // NOLINT
-  bool key(Json::string_t & /*Name*/) { return false; }
-  bool end_object() { return false; }      // NOLINT
-  bool start_array(std::size_t /*Size*/) { // NOLINT
-    if (m_open.size() >= MaxDepth || !add(Json::array()))
-      return false;
-    m_open.push_back(m_open.empty() ? &m_root : &m_open.back()->back());
-    return true;
-  }
-  bool end_array() { // NOLINT
-    m_open.pop_back();
-    return true;
-  }
-  // NOLINTNEXTLINE(readability-identifier-naming)
-  bool parse_error(std::size_t /*Position*/, const std::string & /*Token*/,
-                   const nlohmann::detail::exception & /*Cause*/) {
-    return false;
-  }
-
-private:
-  bool add(Json Value) {
-    if (++m_values > MaxValues)
-      return false;
-    if (m_open.empty())
-      m_root = std::move(Value);
-    else
-      m_open.back()->push_back(std::move(Value));
-    return true;
-  }
-
-  Json m_root;
-  std::vector<Json *> m_open; ///< Arrays that are not closed, outermost first.
-  std::size_t m_values = 0;
-};
-
 constexpr std::size_t HeaderValues = 2; ///< Type and schema version.
 
 template <std::size_t Type> bool readAs(const Json &From, Message &To) {
@@ -472,12 +418,12 @@
 Result<Message> decode(std::string_view Payload) {
   if (Payload.size() > MaxFrameBytes)
     return fail(ErrorKind::BadFrame, "payload is above the size limit");
-  BoundedBuilder Builder;
-  if (!Json::sax_parse(Payload.begin(), Payload.end(), &Builder,
-                       Json::input_format_t::msgpack))
+  const auto Read =
+      readMsgpack(Payload, {.MaxDepth = MaxDepth, .MaxValues = MaxValues});
+  if (!Read)
     return fail(ErrorKind::BadFrame, "payload is not a msgpack message");
   Message Out;
-  if (!readMessage(Builder.takeRoot(), Out))
+  if (!readMessage(*Read, Out))
     return fail(ErrorKind::BadFrame, "payload does not fit the schema");
   return Out;
 }
