Answer what is in progress at a planned stop, and check permissions again

Found, each by a test that failed before: - A stop closed idle connections whose next request had arrived but was not read (ServerFixture.ClosingIdleConnectionsSparesAnUnreadRequest), and the process ended with connections in the kernel's queue, which were reset (ServerFixture.WhatWasConnectedBeforeTheEndOfListeningIsAnswered). A connection with unread bytes is no longer idle; before the end the listener accepts what is queued, stops, and the daemon ends only when nothing is in progress, partly received or unread. This also holds for connections above the descriptor share. - What was in progress half a second before the kill was cut off (GatewayFixture.TheEndOfTheGraceAnswersWhatIsInProgress). It is now answered: a request that reached no replica with a refusal that says not-run, one that may have run with 502; a started stream is reset, so that it can't look complete. - A process that was paused between the check of a key and the next attempt sent the request on a permission that had run out (GatewayFixture.APausedProcessDoesNotUseAnExpiredPermission), also if the key was revoked meanwhile (AKeyThatIsRevokedWhileARequestWaitsIsNotUsed). Each attempt checks the key against the newest desired state, and the age of its confirmation against the whole bound; on arrival 62 % of it applies, as before.

Looked for and not found: an attempt after a deadline that passed in a pause (GatewayFixture.APausedProcessDoesNotSendAfterTheDeadline; the check before the first attempt is new all the same, since a dispatcher's decision may come late), and requests on open connections after the stop signal.

Ruled out: refusing at 62 % of the bound before each attempt as well. It would take retries and resumed streams away in an outage without making a key safer.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -72,6 +72,9 @@
   std::optional<Error> readMetadata();
   std::optional<Error> findRoute();
   std::optional<Error> checkKey();
+  /// Before each attempt: the process may have been paused, or the desired
+  /// state changed, since checkKey().
+  [[nodiscard]] std::optional<Error> checkKeyAgain() const;
   std::optional<Error> checkLoad();
   std::optional<Error> checkDeadline();
   std::optional<Error> checkCrashes();
@@ -89,6 +92,7 @@
   void onUnresponsive();
   void onDeadline();
   void onCallerDisconnected();
+  void onStopping();
 
   void forwardAnswer();
   void beginStream();
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -99,6 +99,8 @@
   net::HttpServer m_directory;
   net::HttpServer m_metricsServer;
   net::Timer m_tickTimer;
+  bool m_listening = true;      ///< Until the end of a planned stop.
+  bool m_endedRequests = false; ///< The grace of a planned stop is over.
   TimePoint m_lastSweep{};
   LoopLag m_lag{StateFreshness::TickInterval};
   policy::LoadShedder m_shedder;
--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -49,6 +49,8 @@
   /// Whether the peer has closed the connection and all its bytes have been
   /// read, even if the loop has not processed the end yet.
   [[nodiscard]] bool peerClosed();
+  /// Whether the peer has sent bytes that have not been read.
+  [[nodiscard]] bool hasUnreadBytes();
   /// Shuts down the sending side once the buffered bytes have been sent.
   void finishWriting();
   /// Detaches the listener and closes the connection.
--- a/include/nutmegdrift/net/http_server.h
+++ b/include/nutmegdrift/net/http_server.h
@@ -42,6 +42,8 @@
   std::function<void()> OnCallerDisconnected{};
   /// Called when all written bytes have been passed to the operating system.
   std::function<void()> OnDrained{};
+  /// Called when the server ends: the request must be answered or aborted now.
+  std::function<void()> OnStopping{};
 
 private:
   friend class ServerConnection;
@@ -77,8 +79,15 @@
   void setOptions(const HttpServerOptions &Options) { m_options = Options; }
   /// From now on, each answer requests that the caller close its connection.
   void startDraining();
-  /// Closes connections without a request in progress.
+  /// Accepts the connections that have been made, and then no more.
+  void stopListening() { m_listener.stop(); }
+  /// Closes connections without a request in progress. One whose caller has
+  /// sent bytes that are not read yet stays open.
   void closeIdle();
+  /// Whether no request is in progress, partly received or unread.
+  [[nodiscard]] bool quiet() const;
+  /// Calls OnStopping of each request in progress.
+  void endRequests();
   /// Closes connections without a request in progress, longest idle first,
   /// until at most MaxConnections remain.
   void closeIdleAbove(std::size_t MaxConnections);
--- a/include/nutmegdrift/net/tcp_listener.h
+++ b/include/nutmegdrift/net/tcp_listener.h
@@ -25,6 +25,8 @@
 
   /// False if the host is no IP address or the address can't be bound.
   bool listen(const HostPort &Address);
+  /// Accepts the connections that wait in the kernel's queue, and then no more.
+  void stop();
   /// The bound port; 0 before listen().
   [[nodiscard]] std::uint16_t port() const;
 
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -51,6 +51,10 @@
     if (const auto Alive = Self.lock())
       Alive->onCallerDisconnected();
   };
+  m_exchange->OnStopping = [Self = weak_from_this()] {
+    if (const auto Alive = Self.lock())
+      Alive->onStopping();
+  };
   m_exchange->OnDrained = [Self = weak_from_this()] {
     const auto Alive = Self.lock();
     if (!Alive || Alive->m_reading || !Alive->m_connection)
@@ -113,6 +117,26 @@
   return std::nullopt;
 }
 
+std::optional<Error> Call::checkKeyAgain() const {
+  if (!m_workspace)
+    return std::nullopt;
+  const auto &Current = m_env.State.Table;
+  if (Current && Current != m_table) {
+    const std::string *Owner = Current->workspaceOf(m_metadata.Key);
+    if (!Owner || *Owner != *m_workspace)
+      return Error{ErrorKind::UnknownKey, "the key is no longer valid"};
+  }
+  if (!m_env.Settings.Bounds.RevokeWhenPartitioned)
+    return std::nullopt;
+  // The check on arrival leaves a part of the bound for what was admitted by
+  // it; after that the key may have been revoked.
+  const auto Age = m_env.State.Freshness.age(m_env.Clk.now());
+  if (!Age || *Age > m_env.Settings.Bounds.KeyRevocation)
+    return Error{ErrorKind::PlatformUnavailable,
+                 "the key can no longer be confirmed"};
+  return std::nullopt;
+}
+
 std::optional<Error> Call::checkLoad() {
   const double Tokens = static_cast<double>(m_metadata.PromptTokens) +
                         static_cast<double>(m_metadata.OutputTokens);
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -64,6 +64,19 @@
     onCallerDisconnected();
     return;
   }
+  // The process may have been paused since the request was checked.
+  if (remainingTime().count() <= 0) {
+    onDeadline();
+    return;
+  }
+  if (const auto Failure = checkKeyAgain()) {
+    if (m_placementKey) {
+      m_env.ModelPlacement.ended(*m_placementKey, ReplicaOutcome::Refused);
+      m_placementKey.reset();
+    }
+    answerError(*Failure);
+    return;
+  }
   routing::Replica *Chosen = m_env.State.Replicas.find(Id);
   m_tried.insert(Id);
   const routing::Service *TargetService = service();
@@ -471,6 +484,14 @@
   finish();
 }
 
+void Call::onStopping() {
+  if (m_finished)
+    return;
+  m_mayHaveRun = m_mayHaveRun || m_connection;
+  releaseReplica(ReplicaOutcome::Abandoned);
+  answerError({ErrorKind::Draining, "this daemon has stopped"});
+}
+
 void Call::recordVersionSample(const routing::ReplicaRecord &Replica,
                                ReplicaOutcome Outcome) {
   const bool Failed = Outcome == ReplicaOutcome::Failed ||
@@ -527,6 +548,7 @@
   m_responseTimer.cancel();
   m_exchange->OnCallerDisconnected = nullptr;
   m_exchange->OnDrained = nullptr;
+  m_exchange->OnStopping = nullptr;
 }
 
 } // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "nutmegdrift/gateway/gateway.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegdrift::gateway {
 
@@ -415,12 +416,26 @@
 
 void Gateway::checkStopped() {
   const Duration Since = m_clock.now() - m_callEnvironment.StoppingSince;
-  const bool Idle = m_front.activeRequests() == 0;
-  if (Since > CloseIdleAfter)
+  const bool GraceEnds = Since >= m_settings.Bounds.StopGrace - StopKillMargin;
+  if (GraceEnds && !m_endedRequests) {
+    m_endedRequests = true;
+    m_log.line(LogClass::State, "daemon.ended_requests",
+               {{"requests", std::to_string(m_front.activeRequests())}});
+    m_front.endRequests();
+    return; // The answers are sent until the next tick.
+  }
+  if (!GraceEnds) {
+    if (Since <= CloseIdleAfter)
+      return;
     m_front.closeIdle();
-  const bool Done = Since > CloseIdleAfter && Idle;
-  if (!Done && Since < m_settings.Bounds.StopGrace - StopKillMargin)
-    return;
+    if (!m_front.quiet())
+      return;
+    // What was connected meanwhile is accepted and answered first.
+    if (std::exchange(m_listening, false)) {
+      m_front.stopListening();
+      return;
+    }
+  }
   m_log.line(LogClass::State, "daemon.stopped",
              {{"cut", std::to_string(m_front.activeRequests())}});
   m_hooks.OnStopped();
--- a/src/nutmegdrift/gateway/gateway_fixture.h
+++ b/src/nutmegdrift/gateway/gateway_fixture.h
@@ -131,7 +131,7 @@
             .Host = "h",
             .PathPrefix = Prefix,
             .Kind = Kind,
-            .Timeout = 1500ms,
+            .Timeout = RouteTimeout,
             .FirstByteTarget = 100ms,
             .Shares = {{"s", 1}},
             .MaxReplicas = Replicas};
@@ -261,6 +261,7 @@
   std::optional<Gateway> Daemon;
   std::shared_ptr<net::ClientConnection> Caller;
   int LastId = 0;
+  Milliseconds RouteTimeout{1500};
   std::vector<std::unique_ptr<net::Timer>> Timers;
   bool Stopped = false;
   std::uint64_t RawSent = 0;            ///< Endless bytes of rawCall().
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -572,6 +572,107 @@
   EXPECT_TRUE(Stopped);
 }
 
+// Requests in progress at the end of the grace were cut off without an answer.
+TEST_F(GatewayFixture, TheEndOfTheGraceAnswersWhatIsInProgress) {
+  apply();
+  auto &Only = replica([](net::ServerExchange &) {});
+  GatewaySettings Short = Settings;
+  Short.Bounds.StopGrace = 1000ms;
+  Daemon->reload(Short);
+  Answer Received;
+  bool Done = false;
+  Caller = std::make_shared<net::ClientConnection>(Loop, Clk, Settings.Front);
+  Caller->send("GET /once/x HTTP/1.1\r\nHost: h\r\nId: i\r\n\r\n", 1s,
+               {.OnHead =
+                    [&](const net::HttpAnswerHead &Head) {
+                      Received.Status = Head.Status;
+                    },
+                .OnEnd = [&] { Done = true; },
+                .OnFailure =
+                    [&](net::ClientFailure Failure) {
+                      Received.Failure = Failure;
+                      Done = true;
+                    }});
+  runUntil([&] { return Only.Requests == 1; });
+  Daemon->stop();
+  runUntil([&] { return Stopped; });
+  EXPECT_TRUE(Stopped);
+  runUntil([&] { return Done; });
+  // It may have run, so it must not be promised that it has not.
+  EXPECT_EQ(Received.Status, 502);
+  EXPECT_FALSE(Received.Failure);
+}
+
+// A request whose caller is connected, but whose bytes come after the stop
+// signal, is served like the others.
+TEST_F(GatewayFixture, AStopServesRequestsOnOpenConnections) {
+  apply();
+  replica(answerDone);
+  const auto Open =
+      std::make_shared<net::ClientConnection>(Loop, Clk, Settings.Front);
+  int Served = 0;
+  auto Send = [&] {
+    Open->send("GET /once/x HTTP/1.1\r\nHost: h\r\nId: i\r\n\r\n", 1s,
+               {.OnEnd = [&] { ++Served; }});
+  };
+  Send();
+  runUntil([&] { return Served == 1; });
+  Daemon->stop();
+  Send();
+  runUntil([&] { return Served == 2; });
+  EXPECT_EQ(Served, 2);
+}
+
+// A process that was paused for seconds between the check of a key and the next
+// attempt sent the request on a permission that had run out.
+TEST_F(GatewayFixture, APausedProcessDoesNotUseAnExpiredPermission) {
+  RouteTimeout = 60s;
+  apply(1, {{.Name = "w", .Keys = {"k"}}});
+  Daemon->stateConfirmed(Clk.now());
+  auto PauseAndRefuse = [this](net::ServerExchange &Exchange) {
+    Clk.pause(Settings.Bounds.KeyRevocation + 100ms);
+    net::HeaderList Out = answerHeaders(Exchange);
+    Out.add("Not-Run", "1");
+    Exchange.answer(503, Out, "");
+  };
+  replica(PauseAndRefuse);
+  replica(PauseAndRefuse);
+  const Answer Received = call("/once/x", {{"Key", "k"}});
+  EXPECT_EQ(Received.Status, 503) << Received.Body;
+  EXPECT_EQ(Replicas[0]->Requests + Replicas[1]->Requests, 1);
+}
+
+TEST_F(GatewayFixture, AKeyThatIsRevokedWhileARequestWaitsIsNotUsed) {
+  apply(1, {{.Name = "w", .Keys = {"k"}}});
+  Daemon->stateConfirmed(Clk.now());
+  auto RevokeAndRefuse = [this](net::ServerExchange &Exchange) {
+    apply(2, {{.Name = "w", .Keys = {"k2"}}});
+    net::HeaderList Out = answerHeaders(Exchange);
+    Out.add("Not-Run", "1");
+    Exchange.answer(503, Out, "");
+  };
+  replica(RevokeAndRefuse);
+  replica(RevokeAndRefuse);
+  EXPECT_EQ(call("/once/x", {{"Key", "k"}}).Status, 401);
+  EXPECT_EQ(Replicas[0]->Requests + Replicas[1]->Requests, 1);
+}
+
+// A deadline that passed while the process was paused must not start another
+// attempt that nobody waits for.
+TEST_F(GatewayFixture, APausedProcessDoesNotSendAfterTheDeadline) {
+  apply();
+  auto PauseAndRefuse = [this](net::ServerExchange &Exchange) {
+    Clk.pause(10s);
+    net::HeaderList Out = answerHeaders(Exchange);
+    Out.add("Not-Run", "1");
+    Exchange.answer(503, Out, "");
+  };
+  replica(PauseAndRefuse);
+  replica(PauseAndRefuse);
+  call("/safe/x");
+  EXPECT_EQ(Replicas[0]->Requests + Replicas[1]->Requests, 1);
+}
+
 TEST_F(GatewayFixture, ARunOnceRequestUsesNoLongIdleConnection) {
   // The replica may have closed an idle connection. A payment that was sent on
   // one was answered with 502, which leaves open whether it has run.
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -191,6 +191,12 @@
          (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool ByteStream::hasUnreadBytes() {
+  char Next = 0;
+  return open() && ::recv(m_socket.native_handle(), &Next, 1,
+                          MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void ByteStream::finishWriting() {
   m_finishing = true;
   if (m_out.empty())
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -74,7 +74,14 @@
     drop();
   }
 
-  [[nodiscard]] bool idle() const { return !m_exchange && !m_requestStarted; }
+  [[nodiscard]] bool idle() const {
+    return !m_exchange && !m_requestStarted && m_in.empty() &&
+           !m_stream->hasUnreadBytes();
+  }
+  [[nodiscard]] bool lingering() const { return m_lingering; }
+  [[nodiscard]] std::shared_ptr<ServerExchange> exchange() const {
+    return m_exchange;
+  }
   [[nodiscard]] TimePoint idleSince() const { return m_idleSince; }
   [[nodiscard]] bool closeAfterAnswer() const {
     return m_server.m_draining || !m_keepAlive;
@@ -88,6 +95,7 @@
     if (m_exchange) {
       m_exchange->OnCallerDisconnected = nullptr;
       m_exchange->OnDrained = nullptr;
+      m_exchange->OnStopping = nullptr;
       m_exchange->m_connection.reset();
     }
     m_exchange.reset();
@@ -308,6 +316,21 @@
 
 void HttpServer::startDraining() { m_draining = true; }
 
+bool HttpServer::quiet() const {
+  return std::all_of(m_connections.begin(), m_connections.end(),
+                     [](const auto &Connection) {
+                       return Connection->lingering() || Connection->idle();
+                     });
+}
+
+void HttpServer::endRequests() {
+  const auto Connections = m_connections;
+  for (const auto &Connection : Connections)
+    if (const auto Exchange = Connection->exchange();
+        Exchange && Exchange->OnStopping)
+      Exchange->OnStopping();
+}
+
 void HttpServer::closeIdle() {
   const auto Connections = m_connections;
   for (const auto &Connection : Connections)
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -2,6 +2,7 @@
 #include "nutmegdrift/net/client_connection.h"
 #include "nutmegdrift/net/http_server.h"
 
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <sys/resource.h>
@@ -372,6 +373,57 @@
   EXPECT_EQ(Server.activeRequests(), 0U);
 }
 
+// A planned stop closed idle connections on which a request had arrived that
+// was not read yet, and the caller got no answer.
+TEST_F(ServerFixture, ClosingIdleConnectionsSparesAnUnreadRequest) {
+  const std::string Request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  Answer = [](ServerExchange &Exchange) { Exchange.answer(200, {}, "done"); };
+  talk(Request, "done");
+  // Written to the socket, but not read by the server.
+  Caller.Received.clear();
+  Caller.Stream->write(Request);
+  Server.closeIdle();
+  EXPECT_EQ(Server.connections(), 1U);
+  const auto End = std::chrono::steady_clock::now() + 5s;
+  while (Caller.Received.empty() && !Caller.Ended &&
+         std::chrono::steady_clock::now() < End)
+    Loop.run_one_for(50ms);
+  EXPECT_NE(Caller.Received.find("done"), std::string::npos);
+  Server.closeIdle();
+  EXPECT_EQ(Server.connections(), 0U);
+}
+
+// Connections that the kernel had accepted were reset when the process ended.
+TEST_F(ServerFixture, WhatWasConnectedBeforeTheEndOfListeningIsAnswered) {
+  Answer = [](ServerExchange &Exchange) { Exchange.answer(200, {}, "done"); };
+  const auto Endpoint =
+      tcpEndpoint({.Host = "127.0.0.1", .Port = Server.port()});
+  TcpSocket Early(Loop);
+  Early.connect(*Endpoint);
+  boost::asio::write(Early, boost::asio::buffer(std::string_view(
+                                "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+  Server.startDraining();
+  Server.stopListening();
+  EXPECT_FALSE(Server.quiet());
+  Early.non_blocking(true);
+  std::string Received;
+  const auto End = std::chrono::steady_clock::now() + 5s;
+  while (Received.empty() && std::chrono::steady_clock::now() < End) {
+    Loop.run_one_for(20ms);
+    std::array<char, 1024> Buffer{};
+    boost::system::error_code Failed;
+    const std::size_t Count =
+        Early.read_some(boost::asio::buffer(Buffer), Failed);
+    Received.append(Buffer.data(), Failed ? 0 : Count);
+  }
+  EXPECT_TRUE(Received.starts_with("HTTP/1.1 200")) << Received;
+  EXPECT_NE(Received.find("Connection: close"), std::string::npos);
+  TcpSocket Late(Loop);
+  boost::system::error_code Refused;
+  Late.connect(*Endpoint, Refused);
+  EXPECT_TRUE(Refused);
+}
+
 TEST_F(ServerFixture, DrainingRequestsThatTheCallerClose) {
   Answer = [](ServerExchange &Exchange) { Exchange.answer(200, {}, "ok"); };
   Server.startDraining();
--- a/src/nutmegdrift/net/tcp_listener.cpp
+++ b/src/nutmegdrift/net/tcp_listener.cpp
@@ -30,7 +30,8 @@
 void TcpListener::accept() {
   m_acceptor.async_wait(boost::asio::socket_base::wait_read,
                         [this](const boost::system::error_code &Failed) {
-                          if (Failed != boost::asio::error::operation_aborted)
+                          if (Failed != boost::asio::error::operation_aborted &&
+                              m_acceptor.is_open())
                             acceptPending();
                         });
 }
@@ -54,6 +55,21 @@
   accept();
 }
 
+void TcpListener::stop() {
+  for (int I = 0; I < Backlog && m_acceptor.is_open(); ++I) {
+    boost::system::error_code Failed;
+    TcpSocket Socket = m_acceptor.accept(Failed);
+    if (Failed == boost::asio::error::connection_aborted)
+      continue;
+    if (Failed)
+      break;
+    m_onAccepted(std::move(Socket));
+  }
+  m_retry.cancel();
+  boost::system::error_code Ignored;
+  m_acceptor.close(Ignored);
+}
+
 std::uint16_t TcpListener::port() const {
   boost::system::error_code Failed;
   const auto Endpoint = m_acceptor.local_endpoint(Failed);
