Send heartbeats less often in a large fleet

Cause: each daemon sent its status to all others every 500 ms: 76,000 datagrams a second at 195 daemons, 390 in and 390 out at each, whatever its size; each one also compared 8 addresses with all members and parsed all target addresses.

Change: above 64 daemons the interval grows with their number, up to 3 s, so that a daemon receives about 128 heartbeats a second. A heartbeat names its interval, and a daemon is lost after 3.4 of its own intervals. News are sent at the next tick (ready, stopping, crash suspects, anything of a rollout), and a daemon that dispatches a service or is among the first two to confirm the desired state keeps 500 ms. A daemon that was unknown, lost or restarted is answered at once. Known addresses are looked up in a map.

The outcomes of a rollout were also lost to all but one daemon when a heartbeat was composed for a stranger; they are now taken only for messages to all. The status for a stranger is composed anew, because an old age of the desired state would make a key look confirmed later than it was.

Ruled out: hubs that pass on a digest (loses the direct confirmations that keys rely on), and gossip to a few (takes seconds to reach all, with tables of 2 KB).

--- a/include/nutmegdrift/gateway/fleet_beacon.h
+++ b/include/nutmegdrift/gateway/fleet_beacon.h
@@ -1,5 +1,6 @@
 // Membership: each daemon sends heartbeats with its status to all others over
-// UDP.
+// UDP. In a large fleet most daemons send fewer of them, because the messages
+// of all grow with the square of their number.
 #ifndef NUTMEGDRIFT_GATEWAY_FLEET_BEACON_H
 #define NUTMEGDRIFT_GATEWAY_FLEET_BEACON_H
 
@@ -11,15 +12,16 @@
 
 #include <array>
 #include <map>
+#include <optional>
 
 namespace nutmegdrift::gateway {
 
 /// The live daemons, by the heartbeats received. Does no I/O.
 class FleetView {
 public:
-  /// A daemon without a heartbeat for this long is lost. Allows for three lost
-  /// heartbeats.
-  static constexpr Duration MemberTimeout = std::chrono::milliseconds(1700);
+  /// A daemon without a heartbeat for this many of its intervals is lost.
+  /// Allows for three lost heartbeats.
+  static constexpr double LostAfterIntervals = 3.4;
   /// Heartbeats are sent to a lost daemon for this long, so that both sides of
   /// a network partition find each other when it ends.
   static constexpr Duration MemberRetention = std::chrono::seconds(30);
@@ -32,7 +34,11 @@
   void record(const Heartbeat &Value, TimePoint Now);
   void removeExpired(TimePoint Now);
   [[nodiscard]] bool alive(const Member &Peer, TimePoint Now) const {
-    return Now - Peer.LastHeartbeat < MemberTimeout;
+    return Now - Peer.LastHeartbeat < Peer.Status.Interval * LostAfterIntervals;
+  }
+  /// Whether a known daemon has this internal address.
+  [[nodiscard]] bool knows(const HostPort &Internal) const {
+    return m_addresses.contains(Internal);
   }
   /// Whether the daemon is known and its heartbeats are missed.
   [[nodiscard]] bool lost(const DaemonName &Daemon, TimePoint Now) const;
@@ -44,15 +50,43 @@
 
 private:
   std::map<DaemonName, Member> m_members;
+  std::map<HostPort, DaemonName> m_addresses; ///< Internal ones of m_members.
+};
+
+/// When a daemon sends its status to all others.
+class HeartbeatSchedule {
+public:
+  /// Interval of a daemon that leads, and of all daemons of a small fleet.
+  static constexpr Duration ShortInterval = std::chrono::milliseconds(500);
+  /// Above this number of daemons the interval grows with the number, so that a
+  /// daemon receives the same number of heartbeats.
+  static constexpr std::size_t FullRateDaemons = 64;
+  static constexpr Duration MaxInterval = std::chrono::seconds(3);
+
+  /// The interval of a daemon with no news. Leads: other daemons rely on its
+  /// status, see FleetBeacon::Hooks.
+  [[nodiscard]] static Milliseconds interval(std::size_t Daemons, bool Leads);
+  /// Whether Current must be sent now. Sets its Interval.
+  [[nodiscard]] bool due(Heartbeat &Current, std::size_t Daemons, bool Leads,
+                         TimePoint Now) const;
+  void sent(const Heartbeat &Value, TimePoint Now);
+
+private:
+  Heartbeat m_last;
+  std::optional<TimePoint> m_sentAt;
 };
 
 /// Sends and receives heartbeats.
 class FleetBeacon {
 public:
-  static constexpr Duration HeartbeatInterval = std::chrono::milliseconds(500);
-
   struct Hooks {
+    /// The present status, without outcomes.
     std::function<Heartbeat()> Compose;
+    /// Outcomes since the last call; they are sent to all daemons.
+    std::function<std::vector<RolloutOutcome>()> TakeOutcomes;
+    /// Whether the other daemons rely on the status of this one: it dispatches
+    /// a service, or confirms the desired state for the others.
+    std::function<bool()> Leads;
     std::function<void(const Heartbeat &)> OnHeartbeat;
   };
 
@@ -71,8 +105,10 @@
 
   void tick();
   void receive();
-  void sendAll();
+  void sendAll(Heartbeat Value);
   void sendTo(const HostPort &Target, const std::string &Bytes);
+  /// Answers a daemon that this one did not know, or took for lost.
+  void greet(const Heartbeat &Received, TimePoint Now);
   [[nodiscard]] std::vector<HostPort> membersToAdvertise();
 
   const Clock &m_clock;
@@ -83,6 +119,8 @@
   net::Timer m_timer;
   std::vector<std::string> m_seeds;
   FleetView m_view;
+  HeartbeatSchedule m_schedule;
+  std::map<HostPort, boost::asio::ip::udp::endpoint> m_endpoints;
   std::array<char, 65536> m_buffer{};
   /// Rotates through the members named in heartbeats.
   std::size_t m_nextAdvertised = 0;
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -70,6 +70,8 @@
   std::vector<SuspectCount> Suspects;
   std::vector<RolloutStatus> Rollouts;
   std::vector<RolloutOutcome> Outcomes; ///< Since the last heartbeat.
+  /// Longest time to the daemon's next heartbeat.
+  Milliseconds Interval{500};
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -74,6 +74,8 @@
   void tick();
   void logLoad(TimePoint Now);
   void checkStopped();
+  /// See FleetBeacon::Hooks.
+  [[nodiscard]] bool leads();
   [[nodiscard]] double retryFloor();
   void updateRetryFloors();
   void applyLimits();
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -99,6 +99,8 @@
   /// The service's dispatcher in this daemon's view: the best candidate that
   /// this daemon can reach. Empty before the first replicas are known.
   [[nodiscard]] DaemonName dispatcherOf(const std::string &Service) const;
+  /// Whether this daemon is the dispatcher of a service in its own view.
+  [[nodiscard]] bool dispatchesAny() const;
   [[nodiscard]] std::size_t waiting() const;
   /// Requests that this daemon counts as running on the service's replicas,
   /// those of other daemons included.
--- a/src/nutmegdrift/gateway/fleet_beacon.cpp
+++ b/src/nutmegdrift/gateway/fleet_beacon.cpp
@@ -1,7 +1,7 @@
 // Heartbeats over UDP.
 #include "nutmegdrift/gateway/fleet_beacon.h"
 
-#include <set>
+#include <algorithm>
 
 namespace nutmegdrift::gateway {
 
@@ -11,21 +11,57 @@
 
 /// Members named in one heartbeat, for daemons that don't know them yet.
 constexpr std::size_t MaxAdvertisedMembers = 8;
+/// Endpoints of daemons that may have left are dropped above this number.
+constexpr std::size_t MaxCachedEndpoints = 4096;
 /// Heartbeats read before control returns to the event loop.
 constexpr int MaxHeartbeatsPerTurn = 64;
 
 } // namespace
 
 void FleetView::record(const Heartbeat &Value, TimePoint Now) {
-  m_members[Value.Daemon] = {.Status = Value, .LastHeartbeat = Now};
+  Member &Known = m_members[Value.Daemon];
+  if (Known.Status.Internal != Value.Internal) {
+    m_addresses.erase(Known.Status.Internal);
+    m_addresses[Value.Internal] = Value.Daemon;
+  }
+  Known = {.Status = Value, .LastHeartbeat = Now};
 }
 
 void FleetView::removeExpired(TimePoint Now) {
   std::erase_if(m_members, [&](const auto &Entry) {
-    return Now - Entry.second.LastHeartbeat > MemberRetention;
+    const bool Expired = Now - Entry.second.LastHeartbeat > MemberRetention;
+    if (Expired)
+      m_addresses.erase(Entry.second.Status.Internal);
+    return Expired;
   });
 }
 
+Milliseconds HeartbeatSchedule::interval(std::size_t Daemons, bool Leads) {
+  const double Factor =
+      Leads ? 1.0
+            : std::max(1.0, static_cast<double>(Daemons) /
+                                static_cast<double>(FullRateDaemons));
+  return std::chrono::duration_cast<Milliseconds>(std::min<Duration>(
+      std::chrono::duration_cast<Duration>(ShortInterval * Factor),
+      MaxInterval));
+}
+
+bool HeartbeatSchedule::due(Heartbeat &Current, std::size_t Daemons, bool Leads,
+                            TimePoint Now) const {
+  Current.Interval = interval(Daemons, Leads);
+  if (!m_sentAt || Now - *m_sentAt + ShortInterval / 2 >= Current.Interval)
+    return true;
+  // Rollouts are judged by the outcomes of all daemons.
+  return !Current.Rollouts.empty() || Current.Ready != m_last.Ready ||
+         Current.Stopping != m_last.Stopping ||
+         Current.Suspects != m_last.Suspects;
+}
+
+void HeartbeatSchedule::sent(const Heartbeat &Value, TimePoint Now) {
+  m_last = Value;
+  m_sentAt = Now;
+}
+
 bool FleetView::lost(const DaemonName &Daemon, TimePoint Now) const {
   const auto Entry = m_members.find(Daemon);
   return Entry != m_members.end() && !alive(Entry->second, Now);
@@ -63,25 +99,33 @@
 }
 
 void FleetBeacon::tick() {
-  m_timer.callAfter(HeartbeatInterval, [this] { tick(); });
-  sendAll();
-  m_view.removeExpired(m_clock.now());
+  m_timer.callAfter(HeartbeatSchedule::ShortInterval, [this] { tick(); });
+  const TimePoint Now = m_clock.now();
+  m_view.removeExpired(Now);
+  Heartbeat Value = m_hooks.Compose();
+  if (m_schedule.due(Value, m_view.aliveCount(Now) + 1, m_hooks.Leads(), Now))
+    sendAll(std::move(Value));
 }
 
-void FleetBeacon::sendNow() { sendAll(); }
-
-void FleetBeacon::sendAll() {
+void FleetBeacon::sendNow() {
   Heartbeat Value = m_hooks.Compose();
+  Value.Interval = HeartbeatSchedule::interval(
+      m_view.aliveCount(m_clock.now()) + 1, m_hooks.Leads());
+  sendAll(std::move(Value));
+}
+
+void FleetBeacon::sendAll(Heartbeat Value) {
   Value.Peers = membersToAdvertise();
+  Value.Outcomes = m_hooks.TakeOutcomes();
+  m_schedule.sent(Value, m_clock.now());
   const std::string Bytes = encode(Value);
-  std::set<HostPort> Targets;
   for (const auto &[Name, Peer] : m_view.members())
-    Targets.insert(Peer.Status.Internal);
+    if (Peer.Status.Internal != m_localAddress)
+      sendTo(Peer.Status.Internal, Bytes);
   for (const std::string &Host : m_seeds)
-    Targets.insert({.Host = Host, .Port = m_localAddress.Port});
-  Targets.erase(m_localAddress);
-  for (const HostPort &Target : Targets)
-    sendTo(Target, Bytes);
+    if (const HostPort Seed{.Host = Host, .Port = m_localAddress.Port};
+        Seed != m_localAddress && !m_view.knows(Seed))
+      sendTo(Seed, Bytes);
 }
 
 std::vector<HostPort> FleetBeacon::membersToAdvertise() {
@@ -98,14 +142,42 @@
 }
 
 void FleetBeacon::sendTo(const HostPort &Target, const std::string &Bytes) {
-  const auto Address = net::tcpEndpoint(Target);
-  if (!Address)
-    return;
+  auto Known = m_endpoints.find(Target);
+  if (Known == m_endpoints.end()) {
+    const auto Address = net::tcpEndpoint(Target);
+    if (!Address)
+      return;
+    if (m_endpoints.size() >= MaxCachedEndpoints)
+      m_endpoints.clear();
+    Known =
+        m_endpoints
+            .emplace(Target, udp::endpoint(Address->address(), Address->port()))
+            .first;
+  }
   // A heartbeat that can't be sent counts as lost; the next one follows soon.
   boost::system::error_code Ignored;
-  m_socket.send_to(boost::asio::buffer(Bytes),
-                   udp::endpoint(Address->address(), Address->port()), 0,
-                   Ignored);
+  m_socket.send_to(boost::asio::buffer(Bytes), Known->second, 0, Ignored);
+}
+
+void FleetBeacon::greet(const Heartbeat &Received, TimePoint Now) {
+  std::vector<HostPort> Strangers;
+  const auto Known = m_view.members().find(Received.Daemon);
+  if (Known == m_view.members().end() || !m_view.alive(Known->second, Now) ||
+      Known->second.Status.Boot != Received.Boot)
+    Strangers.push_back(Received.Internal);
+  for (const HostPort &Peer : Received.Peers)
+    if (Peer != m_localAddress && !m_view.knows(Peer))
+      Strangers.push_back(Peer);
+  if (Strangers.empty())
+    return;
+  // Composed now: the age of the desired state in an earlier heartbeat would
+  // make it look confirmed later than it was.
+  Heartbeat Value = m_hooks.Compose();
+  Value.Interval =
+      HeartbeatSchedule::interval(m_view.aliveCount(Now) + 1, m_hooks.Leads());
+  const std::string Bytes = encode(Value);
+  for (const HostPort &Stranger : Strangers)
+    sendTo(Stranger, Bytes);
 }
 
 /// Continues to receive even if a heartbeat could not be handled.
@@ -139,16 +211,7 @@
             continue;
           }
           const TimePoint Now = m_clock.now();
-          for (const HostPort &Peer : Value->Peers) {
-            const bool IsKnown =
-                Peer == m_localAddress ||
-                std::any_of(m_view.members().begin(), m_view.members().end(),
-                            [&](const auto &Entry) {
-                              return Entry.second.Status.Internal == Peer;
-                            });
-            if (!IsKnown && net::tcpEndpoint(Peer))
-              sendTo(Peer, encode(m_hooks.Compose()));
-          }
+          greet(*Value, Now);
           m_view.record(*Value, Now);
           m_hooks.OnHeartbeat(*Value);
         }
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -232,7 +232,8 @@
          std::move(Peers),
          std::move(Suspects),
          std::move(Rollouts),
-         std::move(Outcomes)};
+         std::move(Outcomes),
+         B.Interval.count()};
   return toMsgpack(Out);
 }
 
@@ -266,6 +267,8 @@
       B.Rollouts.push_back(decodeRolloutStatus(Entry));
     for (const json &Entry : V.at(14))
       B.Outcomes.push_back(decodeRolloutOutcome(Entry));
+    if (V.size() > 15)
+      B.Interval = decodeTime(V.at(15));
     return B;
   } catch (const std::exception &) {
     return std::nullopt;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -49,12 +49,9 @@
       m_random(m_boot), m_pool(Loop, Clk),
       m_beacon(
           Loop, Clk, Log, m_settings.Internal,
-          {.Compose =
-               [this] {
-                 Heartbeat Out = composeHeartbeat();
-                 Out.Outcomes = m_state.Rollouts.drainOutcomes();
-                 return Out;
-               },
+          {.Compose = [this] { return composeHeartbeat(); },
+           .TakeOutcomes = [this] { return m_state.Rollouts.drainOutcomes(); },
+           .Leads = [this] { return leads(); },
            .OnHeartbeat =
                [this](const Heartbeat &Received) { onHeartbeat(Received); }}),
       m_placement(
@@ -149,6 +146,11 @@
   return m_beacon.view().aliveCount(m_clock.now()) + 1;
 }
 
+bool Gateway::leads() {
+  constexpr std::size_t ConfirmingDaemons = 2;
+  return m_placement.dispatchesAny() || confirmationRank() < ConfirmingDaemons;
+}
+
 double Gateway::retryFloor() {
   const bool Alone =
       std::all_of(m_settings.Seeds.begin(), m_settings.Seeds.end(),
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -126,6 +126,56 @@
   EXPECT_TRUE(Malformed);
 }
 
+// Heartbeats of all daemons to all others grow with the square of the fleet and
+// took an eighth of a small VM's processor at 195 daemons.
+TEST(HeartbeatSchedule, ADaemonReceivesAsManyHeartbeatsInALargeFleet) {
+  constexpr double Bound = 2.0 * HeartbeatSchedule::FullRateDaemons;
+  for (const std::size_t Daemons : {8U, 64U, 195U, 370U}) {
+    HeartbeatSchedule Schedule;
+    int Sent = 0;
+    for (TimePoint Now = Start; Now < Start + 60s;
+         Now += HeartbeatSchedule::ShortInterval) {
+      Heartbeat Value{.Ready = true};
+      if (!Schedule.due(Value, Daemons, false, Now))
+        continue;
+      Schedule.sent(Value, Now);
+      ++Sent;
+    }
+    EXPECT_LE(Sent / 60.0 * static_cast<double>(Daemons), Bound * 1.1)
+        << Daemons << " daemons";
+    EXPECT_GE(Sent, 20) << Daemons << " daemons";
+  }
+}
+
+// News must not wait for the long interval, and the daemons on which others
+// rely keep the short one.
+TEST(HeartbeatSchedule, SendsNewsAtOnce) {
+  HeartbeatSchedule Schedule;
+  Heartbeat Value{.Ready = true};
+  Schedule.sent(Value, Start);
+  EXPECT_FALSE(Schedule.due(Value, 195, false, Start + 500ms));
+  EXPECT_TRUE(Schedule.due(Value, 195, true, Start + 500ms));
+  EXPECT_EQ(Value.Interval, 500ms);
+  Heartbeat Stopping = Value;
+  Stopping.Stopping = true;
+  EXPECT_TRUE(Schedule.due(Stopping, 195, false, Start + 500ms));
+  Heartbeat Rollout = Value;
+  Rollout.Rollouts = {{.Service = "s", .Version = "v2"}};
+  EXPECT_TRUE(Schedule.due(Rollout, 195, false, Start + 500ms));
+}
+
+// A daemon that announces a long interval is not lost in between, and one that
+// announces none is judged by the short one.
+TEST(FleetView, JudgesADaemonByItsOwnInterval) {
+  FleetView View;
+  View.record({.Daemon = "slow", .Interval = 1500ms}, Start);
+  View.record({.Daemon = "fast"}, Start);
+  EXPECT_FALSE(View.lost("slow", Start + 4s));
+  EXPECT_TRUE(View.lost("fast", Start + 1800ms));
+  EXPECT_TRUE(View.lost("slow", Start + 5200ms));
+  EXPECT_FALSE(View.lost("unknown", Start));
+}
+
 // The library's msgpack reader recurses once per level: one datagram of nested
 // arrays overflowed the stack of every daemon that it reached.
 TEST(FleetMessages, DeepNestingIsMalformed) {
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -257,6 +257,12 @@
   return dispatcherOf(Service) == m_env.Self;
 }
 
+bool Placement::dispatchesAny() const {
+  return std::any_of(m_roles.begin(), m_roles.end(), [this](const auto &Entry) {
+    return dispatches(Entry.first);
+  });
+}
+
 void Placement::updateRoles() {
   const TimePoint Now = m_env.Clk.now();
   m_candidates = m_env.Candidates();
--- a/src/nutmegdrift/gateway/placement_test.cpp
+++ b/src/nutmegdrift/gateway/placement_test.cpp
@@ -59,6 +59,7 @@
     Nodes[Name] = std::make_unique<Node>(Loop, Clk, Log, Name, Addresses,
                                          Candidates, LostDaemons);
     std::vector<routing::ReplicaRecord> Records;
+    Records.reserve(ReplicaCount);
     for (int I = 0; I < ReplicaCount; ++I)
       Records.push_back({.Id = "r" + std::to_string(I),
                          .Service = ServiceName,
