--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -42,6 +42,8 @@
   HostPort Internal;  ///< UDP and TCP between daemons.
   HostPort Metrics;
   HostPort Store; ///< The platform's store.
+  /// How long the store keeps changes that a watch may continue from.
+  Milliseconds StoreHistory{20000};
   /// Hosts of other daemons; some may be unreachable.
   std::vector<std::string> Seeds;
   double ProcessorShare = 1.0;
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -54,6 +54,7 @@
   const YAML::Node Listen = Root["listen"];
   if (!Listen || !Listen.IsMap())
     throwBadSetting(Root, "listen", "missing");
+  const GatewaySettings Default;
   GatewaySettings Out{
       .Name = valueOf<std::string>(Root, "name"),
       .Zone = valueOf<std::string>(Root, "zone"),
@@ -63,6 +64,8 @@
       .Internal = parseAddress(Listen, "internal"),
       .Metrics = parseAddress(Listen, "metrics"),
       .Store = parseAddress(Root, "store"),
+      .StoreHistory =
+          durationIn(Root, "store_history_s", SecondUnit, Default.StoreHistory),
       .ProcessorShare = positiveNumber(Root, "processor_share", 1.0),
       .MemoryMegabytes = countOf(Root, "memory_mb", 256),
       .Descriptors = countOf(Root, "descriptors", 1024),
