Place returned requests after those that can still be served in time

Cause: a request that was refused and came back went before all others and counted as one that meets its target, though its target had passed.

Change: returned requests are placed in the second pass, with those that miss their target, and an arriving request doesn't count them as waiting before it. Repeats after a failure of a replica still go first.

--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -180,6 +180,9 @@
     double Served = 0.0;
     TimePoint DecayedAt{};
     double QueuedTokens = 0.0; ///< Sum of ReadingTokens of Items.
+    /// The part of QueuedTokens and Items that belongs to returned requests.
+    double ReturnedTokens = 0.0;
+    std::size_t ReturnedItems = 0;
   };
   struct Engine {
     ReplicaId Id;
@@ -235,8 +238,10 @@
                              TimePoint Now) const;
   [[nodiscard]] double tokensPerMs(TimePoint Now) const;
   [[nodiscard]] double requestsPerMs(TimePoint Now) const;
+  /// Time until the queued requests that go before one of Tokens are placed.
   [[nodiscard]] Duration expectedWait(const WorkspaceQueue &Queue,
-                                      double Tokens, TimePoint Now) const;
+                                      double Tokens, bool Returned,
+                                      TimePoint Now) const;
   /// Time after its arrival by which the request must get its first token;
   /// otherwise it is refused.
   [[nodiscard]] Duration queueWaitLimit(const QueuedRequest &Queued,
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -426,20 +426,32 @@
 }
 
 Duration ModelDispatcher::expectedWait(const WorkspaceQueue &Queue,
-                                       double Tokens, TimePoint Now) const {
+                                       double Tokens, bool Returned,
+                                       TimePoint Now) const {
+  struct Load {
+    double Tokens;
+    std::size_t Requests;
+  };
+  // Returned requests are placed after those that can meet their target.
+  const auto LoadAhead = [Returned](const WorkspaceQueue &Waiting) -> Load {
+    if (Returned)
+      return {.Tokens = Waiting.QueuedTokens, .Requests = Waiting.Items.size()};
+    return {.Tokens = Waiting.QueuedTokens - Waiting.ReturnedTokens,
+            .Requests = Waiting.Items.size() - Waiting.ReturnedItems};
+  };
   // With equal service, each other workspace is served at most as much before
   // this request as its own workspace.
-  const double WorkspaceTokens = Queue.QueuedTokens + Tokens;
-  double TokensAhead = Queue.QueuedTokens;
-  std::size_t RequestsAhead = Queue.Items.size();
+  const Load Own = LoadAhead(Queue);
+  Load Ahead = Own;
   for (const auto &[Name, Other] : m_queues) {
     if (&Other == &Queue)
       continue;
-    TokensAhead += std::min(Other.QueuedTokens, WorkspaceTokens);
-    RequestsAhead += std::min(Other.Items.size(), Queue.Items.size() + 1);
+    const Load Waiting = LoadAhead(Other);
+    Ahead.Tokens += std::min(Waiting.Tokens, Own.Tokens + Tokens);
+    Ahead.Requests += std::min(Waiting.Requests, Own.Requests + 1);
   }
-  const double Reading = TokensAhead / tokensPerMs(Now);
-  const double Slots = static_cast<double>(RequestsAhead) / requestsPerMs(Now);
+  const double Reading = Ahead.Tokens / tokensPerMs(Now);
+  const double Slots = static_cast<double>(Ahead.Requests) / requestsPerMs(Now);
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(std::max(Reading, Slots)));
 }
@@ -491,7 +503,7 @@
                 Best.Destination->Estimate.tokensPerMs()
           : Queued.Request.PromptTokens;
   Queued.ReadingTokens = Tokens;
-  const Duration Wait = expectedWait(Queue, Tokens, Now);
+  const Duration Wait = expectedWait(Queue, Tokens, Queued.Returned, Now);
   const bool Unreachable =
       !Best.Destination ||
       (Now - Queued.Request.Arrived) + Wait + Best.FirstToken >
@@ -499,6 +511,10 @@
   if (Unreachable)
     return refuse(Queued, Wait + Best.FirstToken, Now);
   Queue.QueuedTokens += Tokens;
+  if (Queued.Returned) {
+    Queue.ReturnedTokens += Tokens;
+    ++Queue.ReturnedItems;
+  }
   Queue.Items.push_back(std::move(Queued));
   ++m_queued;
   return std::nullopt;
@@ -533,8 +549,16 @@
 }
 
 void ModelDispatcher::removeItem(WorkspaceQueue &Queue, std::size_t Index) {
-  Queue.QueuedTokens -= Queue.Items[Index].ReadingTokens;
+  const QueuedRequest &Removed = Queue.Items[Index];
+  Queue.QueuedTokens -= Removed.ReadingTokens;
+  if (Removed.Returned) {
+    Queue.ReturnedTokens -= Removed.ReadingTokens;
+    --Queue.ReturnedItems;
+  }
   Queue.Items.erase(Queue.Items.begin() + static_cast<std::ptrdiff_t>(Index));
+  // Rounding errors must not add up.
+  if (Queue.ReturnedItems == 0)
+    Queue.ReturnedTokens = 0.0;
   if (Queue.Items.empty())
     Queue.QueuedTokens = 0.0;
   --m_queued;
@@ -604,7 +628,8 @@
     if (!Best.Destination)
       continue;
     const bool MeetsTarget =
-        Queued.Returned || Now + Best.FirstToken <= Entry.Due;
+        Queued.Request.Repeated ||
+        (!Queued.Returned && Now + Best.FirstToken <= Entry.Due);
     if (MeetsTarget == TargetMissed)
       continue;
     if (!Best.AcceptsNow) {
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -495,6 +495,72 @@
   EXPECT_GE(Placed, Offered / 2);
 }
 
+// Under an overload of seconds, callers that came back after a refusal went
+// first. Their target had passed, so all capacity went into late answers, and
+// the requests that could still be served in time were refused and came back.
+TEST_F(DispatcherFixture, ReturnedRequestsDoNotDisplaceThoseInTime) {
+  constexpr int Replicas = 4;
+  constexpr Duration Residence = 800ms;
+  constexpr double SlotsPerSecond = Replicas * 16 / 0.8;
+  constexpr double Overload = 1.5;
+  constexpr Duration Length = 12s;
+  replicas(Replicas);
+  struct Caller {
+    ModelRequest Request;
+    TimePoint FirstArrival;
+    bool Returned = false;
+  };
+  std::map<RequestKey, Caller> Callers;
+  std::multimap<TimePoint, Caller> Returning;
+  std::multimap<TimePoint, RequestKey> Ends;
+  int InTime = 0;
+  int Late = 0;
+  const auto Decide = [&](const ModelDecision &Decision) {
+    Caller Decided = Callers.at(Decision.Key);
+    Callers.erase(Decision.Key);
+    if (!Decision.Destination.empty()) {
+      Dispatcher.started(Decision.Key, Now);
+      Ends.emplace(Now + Residence, Decision.Key);
+      const bool Met =
+          Now <= Decided.FirstArrival + Decided.Request.FirstTokenTarget;
+      (Met ? InTime : Late) += 1;
+    } else if (!Decided.Returned) {
+      Decided.Returned = true;
+      Returning.emplace(Now + Decision.RetryAfter, std::move(Decided));
+    }
+  };
+  const auto Offer = [&](Caller Next) {
+    Next.Request.Key = ++LastKey;
+    Next.Request.Arrived = Now;
+    Next.Request.FirstTokenDeadline = Now + 3s;
+    const ModelRequest Offered = Next.Request;
+    Callers[Offered.Key] = std::move(Next);
+    if (const auto Refusal = Dispatcher.offer(Offered, Now))
+      Decide(*Refusal);
+  };
+  const TimePoint End = Now + Length;
+  double Owed = 0.0;
+  for (; Now < End; Now += 5ms) {
+    while (!Ends.empty() && Ends.begin()->first <= Now) {
+      Dispatcher.ended(Ends.begin()->second, ReplicaOutcome::Served, Now);
+      Ends.erase(Ends.begin());
+    }
+    while (!Returning.empty() && Returning.begin()->first <= Now) {
+      Caller Back = std::move(Returning.begin()->second);
+      Returning.erase(Returning.begin());
+      Offer(std::move(Back));
+    }
+    for (Owed += SlotsPerSecond * Overload * 0.005; Owed >= 1.0; Owed -= 1.0)
+      Offer({.Request = request("w", 1, 100, 100), .FirstArrival = Now});
+    for (const ModelDecision &Decision : Dispatcher.pump(Now))
+      Decide(Decision);
+  }
+  const double Capacity = SlotsPerSecond * 12;
+  EXPECT_GE(InTime, 0.85 * Capacity);
+  // What is left is not wasted either.
+  EXPECT_GE(InTime + Late, 0.95 * Capacity);
+}
+
 TEST_F(DispatcherFixture, AnInterruptedStreamResumesUnderOverload) {
   // Guards against refusing streams that another replica could resume, because
   // their callers arrived seconds ago: a quarter of the engines crash under
