Test streams that drip and streams that are slow

Looked for and not found: a stream that sends bytes but no event ends at the route's time with a reset, and a slow stream whose events keep coming is served to its end. There is no shorter limit on a pause between events: streams here may not be resumed, and a replica's silence is no reason to end an answer sooner (rules of the platform).

--- a/src/nutmegdrift/gateway/broken_replica_test.cpp
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -24,6 +24,23 @@
 struct BrokenReplica : GatewayFixture {
   BrokenReplica() { apply(); }
 
+  /// Writes Piece each 50 ms, Count times, and then ends the answer.
+  void drip(net::ServerExchange &Exchange, const std::string &Piece,
+            int Count) {
+    Timers.push_back(std::make_unique<net::Timer>(Loop));
+    net::Timer &Next = *Timers.back();
+    Next.callAfter(50ms, [this, &Exchange, Piece, Count] {
+      if (!Exchange.open())
+        return;
+      if (Count == 0) {
+        Exchange.finish();
+        return;
+      }
+      Exchange.write(Piece);
+      drip(Exchange, Piece, Count - 1);
+    });
+  }
+
   /// Most bytes that may be read of something that is no answer, with what the
   /// sockets of both sides buffer.
   static constexpr std::uint64_t MaxForeignBytes = std::uint64_t{16} << 20U;
@@ -206,6 +223,34 @@
   EXPECT_EQ(RawEnd, net::StreamEnd::Reset);
 }
 
+// A stream that sends a byte now and then, but no event, must end at the
+// route's time, and its caller must be able to tell that it is not complete.
+TEST_F(BrokenReplica, AStreamThatOnlyDripsEndsAtTheRoutesTime) {
+  auto &Only = replica([this](net::ServerExchange &Exchange) {
+    Exchange.begin(200, answerHeaders(Exchange), std::nullopt);
+    Exchange.write("id: 1\ndata: a\n\n");
+    drip(Exchange, "x", 10000);
+  });
+  const auto Began = Clk.now();
+  const Answer Received = call("/resume/x");
+  EXPECT_TRUE(Received.Failure);
+  EXPECT_GE(Clk.now() - Began, Duration(RouteTimeout));
+  runUntil([&] { return !Only.Exchanges.back()->open(); });
+  EXPECT_FALSE(Only.Exchanges.back()->open());
+}
+
+// A slow stream whose events keep coming was cut.
+TEST_F(BrokenReplica, ASlowStreamIsServedToItsEnd) {
+  constexpr int Events = 20;
+  replica([this](net::ServerExchange &Exchange) {
+    Exchange.begin(200, answerHeaders(Exchange), std::nullopt);
+    drip(Exchange, "data: a\n\n", Events);
+  });
+  const Answer Received = call("/stream/x");
+  EXPECT_FALSE(Received.Failure);
+  EXPECT_EQ(Received.Body.size(), Events * std::string("data: a\n\n").size());
+}
+
 // An exception in the handling of one request went through the event loop and
 // ended the process.
 TEST_F(BrokenReplica, AnUnexpectedErrorEndsOnlyItsOwnRequest) {
