--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -190,6 +190,73 @@
   EXPECT_TRUE(Malformed);
 }
 
+/// Changes, removes or repeats a few bytes.
+std::string mutate(std::string Bytes, Random &Rng) {
+  const std::uint64_t Changes = 1 + Rng() % 4;
+  for (std::uint64_t I = 0; I < Changes && !Bytes.empty(); ++I) {
+    const std::size_t At = Rng() % Bytes.size();
+    switch (Rng() % 4) {
+    case 0:
+      Bytes[At] = static_cast<char>(Rng());
+      break;
+    case 1:
+      Bytes.erase(At, 1 + Rng() % 8);
+      break;
+    case 2:
+      Bytes.insert(At, Bytes.substr(At, 1 + Rng() % 64));
+      break;
+    default:
+      Bytes.resize(At);
+    }
+  }
+  return Bytes;
+}
+
+// One damaged message must not end the process or be read beyond its end.
+TEST(FleetMessages, DamagedMessagesAreReadOrRefused) {
+  Random Rng(7);
+  const std::string Beat =
+      encode({.Daemon = "d",
+              .Revisions = {1, 2},
+              .Peers = {{.Host = "10.0.0.2", .Port = 2}},
+              .Suspects = {{.Fingerprint = 5, .Crashed = {"r1"}}},
+              .Rollouts = {{.Service = "s", .Version = "v"}},
+              .Outcomes = {{.Service = "s", .Sample = {.Route = "r"}}}});
+  const std::string Frame =
+      encodeFrame(PlaceRequest{.Sequence = 1,
+                               .Service = "s",
+                               .Prompt = {{.Id = 9, .Tokens = 5}},
+                               .Tried = {"r"}}) +
+      encodeFrame(EndedReport{.Sequence = 4});
+  std::size_t Read = 0;
+  for (int I = 0; I < 20000; ++I) {
+    Read += decodeHeartbeat(mutate(Beat, Rng)) ? 1 : 0;
+    std::string Buffer = mutate(Frame, Rng);
+    bool Malformed = false;
+    std::size_t Left = Buffer.size();
+    while (!Malformed && decodeFrame(Buffer, Malformed)) {
+      ASSERT_LT(Buffer.size(), Left);
+      Left = Buffer.size();
+    }
+  }
+  EXPECT_GT(Read, 0U);
+}
+
+TEST(Settings, DamagedSettingsAreReadOrRefused) {
+  Random Rng(7);
+  const std::string Valid =
+      "name: a\nzone: z\nstore: 127.0.0.1:1\nlisten:\n"
+      "  front: 127.0.0.1:2\n  readiness: 127.0.0.1:3\n"
+      "  directory: 127.0.0.1:4\n  internal: 127.0.0.1:5\n"
+      "  metrics: 127.0.0.1:6\nseeds:\n  - \"127.0.0.1:7\"\n"
+      "bounds:\n  retry_floor: 3\ndispatch:\n  reading_duty: 0.5\n";
+  std::size_t Refused = 0;
+  for (int I = 0; I < 3000; ++I)
+    if (errorOf([&] { return parseGatewaySettings(mutate(Valid, Rng)); }))
+      ++Refused;
+  EXPECT_GT(Refused, 0U);
+}
+
 // A time that overflows when it is added to the clock's is undefined behaviour,
 // and a weight that is no number would make a daemon the dispatcher for good.
 TEST(FleetMessages, ValuesOutOfRangeAreLimitedOrMalformed) {
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -2,6 +2,8 @@
 #include "nutmegdrift/net/client_connection.h"
 #include "nutmegdrift/net/http_server.h"
 
+#include "nutmegdrift/base/random.h"
+
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -90,6 +92,41 @@
   EXPECT_EQ(Body.error(), HttpParseError::BodyTooLarge);
 }
 
+// Damaged bytes in any split must end in a message or an error, and a reader
+// must not ask for the same bytes for ever.
+TEST(Readers, DamagedMessagesEndInAMessageOrAnError) {
+  Random Rng(11);
+  const std::string Request =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n4;x=y\r\nbody\r\n0\r\nT: v\r\n\r\n";
+  const std::string Response = "HTTP/1.1 200 OK\r\nId: i\r\nContent-Length: "
+                               "4\r\n\r\nbody";
+  std::size_t Done = 0;
+  std::size_t Failed = 0;
+  for (int I = 0; I < 20000; ++I) {
+    std::string Bytes = I % 2 == 0 ? Request : Response;
+    for (std::uint64_t Change = Rng() % 3; Change > 0; --Change)
+      Bytes[Rng() % Bytes.size()] = static_cast<char>(Rng());
+    RequestReader Requests{{}};
+    AnswerReader Answers{{.OnHead = [](const HttpAnswerHead &) {},
+                          .OnBody = [](std::string_view) {}}};
+    std::string Unread;
+    for (std::size_t At = 0; At < Bytes.size();) {
+      const std::size_t Count = std::min(1 + Rng() % 40, Bytes.size() - At);
+      Unread += Bytes.substr(At, Count);
+      At += Count;
+      const std::size_t Used =
+          I % 2 == 0 ? Requests.put(Unread) : Answers.put(Unread);
+      ASSERT_LE(Used, Unread.size());
+      Unread.erase(0, Used);
+    }
+    Done += Requests.done() || Answers.done() ? 1 : 0;
+    Failed += Requests.error() != HttpParseError::None || Answers.failed();
+  }
+  EXPECT_GT(Done, 0U);
+  EXPECT_GT(Failed, 0U);
+}
+
 TEST(HeaderList, DropsFieldsNamedByConnection) {
   const HeaderList Received{{"Connection", "close, X-Hop"},
                             {"X-Hop", "1"},
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -550,8 +550,11 @@
       Returning.erase(Returning.begin());
       Offer(std::move(Back));
     }
-    for (Owed += SlotsPerSecond * Overload * 0.005; Owed >= 1.0; Owed -= 1.0)
+    Owed += SlotsPerSecond * Overload * 0.005;
+    while (Owed >= 1.0) {
       Offer({.Request = request("w", 1, 100, 100), .FirstArrival = Now});
+      Owed -= 1.0;
+    }
     for (const ModelDecision &Decision : Dispatcher.pump(Now))
       Decide(Decision);
   }
