Report running requests once, and trust a connection over missed heartbeats

Test: PlacementFixture.MissedHeartbeatsAloneEndNoRequests, failing before (the client was dropped at the first check). ALostDaemonsRequestsFreeTheirSlots waits for twice the new time instead of 2 s.

--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -50,6 +50,9 @@
   /// A daemon that requested a placement within this time counts as one that
   /// uses this dispatcher.
   static constexpr Duration ActiveClientTime = std::chrono::seconds(1);
+  /// The requests of a daemon whose heartbeats are missed count as ended if it
+  /// has also sent nothing on its connection for this long.
+  static constexpr Duration LostClientSilence = std::chrono::seconds(2);
   /// A check that is this late shows a stall of the daemon, after which it
   /// doesn't judge others by missed heartbeats for CatchUpTime.
   static constexpr Duration StallTime = std::chrono::milliseconds(500);
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -158,6 +158,7 @@
     return m_requests;
   }
   [[nodiscard]] std::size_t waiting() const { return m_waiting; }
+  [[nodiscard]] TimePoint lastReceived() const { return m_lastReceived; }
   /// Name of the daemon; empty until its first request.
   [[nodiscard]] const DaemonName &daemon() const { return m_daemon; }
   void requested(const PlaceRequest &Request, TimePoint Now) {
@@ -183,6 +184,7 @@
 
   void onData(std::string_view Data) override {
     auto Self = shared_from_this();
+    m_lastReceived = m_owner.m_env.Clk.now();
     m_received.append(Data);
     bool Malformed = false;
     while (const auto Message = decodeFrame(m_received, Malformed))
@@ -201,6 +203,7 @@
   std::map<std::uint64_t, std::string> m_requests;
   std::size_t m_waiting = 0;
   DaemonName m_daemon;
+  TimePoint m_lastReceived{};
   std::map<std::string, TimePoint> m_lastRequested; ///< By service.
 };
 
@@ -543,8 +546,11 @@
 
 void Placement::onLinkResponsive(Link &Restored) {
   m_lostDispatchers.erase(Restored.daemon());
+  const auto RolesBefore = m_roles;
   updateRoles();
-  reportRunning(Restored);
+  // A role that changes to the restored dispatcher reports by itself.
+  if (m_roles == RolesBefore)
+    reportRunning(Restored);
 }
 
 void Placement::withdrawReport(RequestKey Key, const DaemonName &Former) {
@@ -562,7 +568,9 @@
     return;
   const auto Clients = m_clients;
   for (const auto &[Number, Connected] : Clients) {
-    if (Connected->daemon().empty() || !m_env.IsLost(Connected->daemon()))
+    if (Connected->daemon().empty() ||
+        Now - Connected->lastReceived() < LostClientSilence ||
+        !m_env.IsLost(Connected->daemon()))
       continue;
     m_env.Log.line(
         LogClass::Fault, "dispatcher.client_lost",
