--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -19,6 +19,9 @@
 /// Larger frames are malformed.
 constexpr std::size_t MaxFrameBytes = std::size_t{1} << 20U;
 constexpr std::size_t LengthBytes = 4;
+/// A daemon with a longer interval of heartbeats would not be found to be lost.
+constexpr Milliseconds MinInterval{100};
+constexpr Milliseconds MaxInterval{30000};
 
 json toJson(const HostPort &Address) {
   return json::array({Address.Host, Address.Port});
@@ -269,6 +272,8 @@
       B.Outcomes.push_back(decodeRolloutOutcome(Entry));
     if (V.size() > 15)
       B.Interval = decodeTime(V.at(15));
+    if (B.Interval < MinInterval || B.Interval > MaxInterval)
+      return std::nullopt;
     return B;
   } catch (const std::exception &) {
     return std::nullopt;
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -268,6 +268,8 @@
   EXPECT_LT(std::get<PlaceRequest>(*Decoded).Age, std::chrono::hours(10000));
   Heartbeat Invalid{.Daemon = "d", .Weight = std::nan("")};
   EXPECT_FALSE(decodeHeartbeat(encode(Invalid)));
+  EXPECT_FALSE(decodeHeartbeat(encode({.Daemon = "d", .Interval = 0ms})));
+  EXPECT_FALSE(decodeHeartbeat(encode({.Daemon = "d", .Interval = 1h})));
 }
 
 /// Six old and six new replicas of a service, and an order for a rollout.
