Log crashes of replicas and the number of suspects

Cause: no line or metric showed that a replica had crashed, which requests it was counted against, or how many suspects a daemon keeps, so the three hypotheses on the crashing prompt part could not be told apart. Change: event replica.crashed with the requests counted and the most crashes of one of them, counter event=replica-crash, and suspects= in daemon.load.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -96,6 +96,8 @@
 
   void forwardAnswer();
   void beginStream();
+  /// Crashes: see CrashWatch::markUnreachable().
+  void logCrash(const std::vector<std::size_t> &Crashes);
   void attemptRefused();
   void attemptFailed(routing::ReplicaOutcome Outcome, std::string_view Cause);
   bool retry(bool MayHaveRun, std::string_view Cause);
--- a/include/nutmegdrift/gateway/crash_watch.h
+++ b/include/nutmegdrift/gateway/crash_watch.h
@@ -29,12 +29,15 @@
   /// identifies one start of the replica.
   void connectionBroke(std::uint64_t Fingerprint, const std::string &Replica,
                        TimePoint Now);
-  /// The replica is unreachable or has restarted.
-  void markUnreachable(const std::string &Replica, TimePoint Now);
+  /// The replica is unreachable or has restarted. Returns the crashes counted
+  /// so far for each request whose connection to it broke before.
+  std::vector<std::size_t> markUnreachable(const std::string &Replica,
+                                           TimePoint Now);
   /// The replica serves requests, so it did not crash.
   void markAlive(const std::string &Replica);
   [[nodiscard]] bool refuses(std::uint64_t Fingerprint, TimePoint Now) const;
   void merge(const SuspectCount &FromPeer, TimePoint Now);
+  [[nodiscard]] std::size_t suspects() const { return m_suspects.size(); }
   /// The most recent suspects, to report to other daemons.
   [[nodiscard]] std::vector<SuspectCount> newestSuspects(TimePoint Now) const;
 
--- a/include/nutmegdrift/gateway/gateway_metrics.h
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -32,6 +32,8 @@
   void desiredStateAge(double Seconds);
   void connectionsOpened(double Count);
   void logLinesSuppressed(double Count);
+  /// A replica crashed while requests of this daemon ran on it.
+  void replicaCrashed();
   /// A callback of the event loop failed with an exception.
   void unexpectedError();
 
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -304,7 +304,7 @@
   const bool Reused = m_connection->reused();
   if (Failure == ClientFailure::ConnectFailed) {
     --m_attempts;
-    m_env.Crashes.markUnreachable(m_replica, m_env.Clk.now());
+    logCrash(m_env.Crashes.markUnreachable(m_replica, m_env.Clk.now()));
     releaseReplica(ReplicaOutcome::Unreachable);
     if (m_lastError.Message.empty())
       m_lastError = {ErrorKind::NoEndpoint, "the replica can't be reached"};
@@ -323,6 +323,17 @@
                 net::toString(Failure));
 }
 
+void Call::logCrash(const std::vector<std::size_t> &Crashes) {
+  if (Crashes.empty())
+    return;
+  m_env.Metrics.replicaCrashed();
+  m_env.Log.line(LogClass::Fault, "replica.crashed",
+                 {{"replica", m_replica},
+                  {"requests", std::to_string(Crashes.size())},
+                  {"most_crashes", std::to_string(*std::max_element(
+                                       Crashes.begin(), Crashes.end()))}});
+}
+
 void Call::attemptRefused() {
   releaseReplica(ReplicaOutcome::Refused);
   if (retry(false, "refused"))
--- a/src/nutmegdrift/gateway/crash_watch.cpp
+++ b/src/nutmegdrift/gateway/crash_watch.cpp
@@ -24,7 +24,9 @@
       Replica, BrokenConnection{.Fingerprint = Fingerprint, .BrokeAt = Now});
 }
 
-void CrashWatch::markUnreachable(const std::string &Replica, TimePoint Now) {
+std::vector<std::size_t> CrashWatch::markUnreachable(const std::string &Replica,
+                                                     TimePoint Now) {
+  std::vector<std::size_t> Crashes;
   const auto [Begin, End] = m_brokenConnections.equal_range(Replica);
   for (auto It = Begin; It != End; ++It) {
     if (Now - It->second.BrokeAt > ConfirmationWindow)
@@ -32,8 +34,10 @@
     Suspect &Suspected = suspect(It->second.Fingerprint, Now);
     Suspected.Crashed.insert(Replica);
     Suspected.LastCrash = Now;
+    Crashes.push_back(Suspected.Crashed.size());
   }
   m_brokenConnections.erase(Begin, End);
+  return Crashes;
 }
 
 void CrashWatch::markAlive(const std::string &Replica) {
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -360,6 +360,7 @@
        {"connections", std::to_string(m_front.connections())},
        {"waiting", std::to_string(m_placement.waiting())},
        {"daemons", std::to_string(daemons())},
+       {"suspects", std::to_string(m_crashes.suspects())},
        {"refused_percent",
         std::to_string(static_cast<int>(100 * m_shedder.refusedShare()))},
        {"lag_ms",
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -48,6 +48,7 @@
   prometheus::Counter &Disconnected = Events.Add({{"event", "caller-left"}});
   prometheus::Counter &Retries = Events.Add({{"event", "repeat"}});
   prometheus::Counter &Resumed = Events.Add({{"event", "stream-resumed"}});
+  prometheus::Counter &Crashes = Events.Add({{"event", "replica-crash"}});
   prometheus::Counter &Unexpected = Events.Add({{"event", "unexpected-error"}});
   prometheus::Counter &StoreSuccesses = Events.Add({{"event", "store-call"}});
   prometheus::Counter &StoreFailures =
@@ -110,6 +111,7 @@
   m_impl->SuppressedLines.Set(Count);
 }
 
+void GatewayMetrics::replicaCrashed() { m_impl->Crashes.Increment(); }
 void GatewayMetrics::unexpectedError() { m_impl->Unexpected.Increment(); }
 
 std::string GatewayMetrics::text() const {
