Reproduce crashes by one prompt part in a test that fails

Cause: crashes are counted by the hash of key, path and body, so requests that share one part and differ otherwise are never refused. Change: test CrashingPart with engines that crash on one part, on real connections; nutmegdrift_module takes a filter of known-red tests. Ruled out: that sound requests with the same first part are refused (third test, passes).

--- a/cmake/NutmegdriftModule.cmake
+++ b/cmake/NutmegdriftModule.cmake
@@ -4,10 +4,13 @@
 #                      DEPENDS base wire LIBRARIES PkgConfig::xxhash
 #                      TEST_LIBRARIES ${RAPIDCHECK_LIBRARY})
 #
+# KNOWN_RED is a GoogleTest filter of the module's tests that KNOWN-RED.txt lists.
+# They get an entry of their own, which run-tests reports without failing.
+#
 # DEPENDS names other modules; configuring fails if one of them is not in a
 # lower layer, so the direction of dependencies cannot change unnoticed.
 function(nutmegdrift_module)
-  cmake_parse_arguments(ARG "" "NAME;LAYER" "SOURCES;TESTS;DEPENDS;LIBRARIES;TEST_LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "" "NAME;LAYER;KNOWN_RED" "SOURCES;TESTS;DEPENDS;LIBRARIES;TEST_LIBRARIES" ${ARGN})
   set_property(GLOBAL PROPERTY NUTMEGDRIFT_LAYER_${ARG_NAME} ${ARG_LAYER})
   set(target nutmegdrift_${ARG_NAME})
   if(ARG_SOURCES)
@@ -33,7 +36,15 @@
     add_executable(${ARG_NAME}_test ${ARG_TESTS})
     target_link_libraries(${ARG_NAME}_test PRIVATE ${target} ${ARG_TEST_LIBRARIES} GTest::gtest_main
                                                    GTest::gmock)
-    add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME}_test)
-    set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
+    set(names ${ARG_NAME})
+    if(ARG_KNOWN_RED)
+      add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME}_test --gtest_filter=-${ARG_KNOWN_RED})
+      add_test(NAME ${ARG_NAME}_known_red COMMAND ${ARG_NAME}_test --gtest_filter=${ARG_KNOWN_RED})
+      set_tests_properties(${ARG_NAME}_known_red PROPERTIES LABELS known-red)
+      list(APPEND names ${ARG_NAME}_known_red)
+    else()
+      add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME}_test)
+    endif()
+    set_tests_properties(${names} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
   endif()
 endfunction()
--- a/src/nutmegdrift/gateway/gateway_fixture.h
+++ b/src/nutmegdrift/gateway/gateway_fixture.h
@@ -9,6 +9,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace nutmegdrift::gateway {
 
 using namespace std::chrono_literals;
@@ -30,6 +32,16 @@
       Metadata.OutputTokens = 10;
       Metadata.Prompt = {{.Id = 1, .Tokens = Metadata.PromptTokens}};
     }
+    // Ids of the prompt's parts, separated by commas.
+    if (const auto Prompt = Headers.find("Prompt")) {
+      std::istringstream Ids{std::string(*Prompt)};
+      Metadata.Prompt.clear();
+      for (std::string Id; std::getline(Ids, Id, ',');)
+        Metadata.Prompt.push_back({.Id = std::stoull(Id), .Tokens = 10});
+      Metadata.PromptTokens =
+          static_cast<std::uint32_t>(10 * Metadata.Prompt.size());
+      Metadata.OutputTokens = 10;
+    }
     return Metadata;
   }
   net::HeaderList forward(const net::HeaderList &Received,
