Keep refused requests known however many suspects follow, and let them expire

Cause: three faults of one table. A heartbeat named the eight newest suspects and a crash adds one for each request that ran, so that a refusal could reach no VM that started later; with 2048 suspects the one with the lowest hash was dropped, refused or not; and a suspect had no age on the wire, so that two daemons that dropped it at different times handed it back and forth for ever. Change: refused requests are reported first, up to 32 suspects; what is dropped has the fewest crashes; a suspect carries the time since its last crash (an optional field). A refusal lasts an hour after the last crash. Measured: ARefusalIsReportedHoweverManySuspectsAreNewer and ASuspectThatOthersStillReportExpires pass; by reading, the code before dropped the first and kept the second without end (not run against it).

--- a/include/nutmegdrift/gateway/crash_watch.h
+++ b/include/nutmegdrift/gateway/crash_watch.h
@@ -12,6 +12,7 @@
 
 /// A request whose connection to a replica broke may have crashed the replica.
 /// A request is refused after several replicas became unreachable in this way.
+/// The daemons share these counts.
 /// Performs no I/O. Not thread-safe.
 class CrashWatch {
 public:
@@ -21,8 +22,11 @@
   /// unreachable within this time.
   static constexpr Duration ConfirmationWindow = std::chrono::seconds(2);
   static constexpr Duration SuspectRetention = std::chrono::minutes(2);
+  /// What is refused is admitted again this long after its last crash, because
+  /// its cause may have been corrected.
+  static constexpr Duration RefusalTime = std::chrono::hours(1);
   /// Maximum number of suspects in a heartbeat to other daemons.
-  static constexpr std::size_t MaxReported = 8;
+  static constexpr std::size_t MaxReported = 32;
   static constexpr std::size_t MaxSuspects = 2048;
 
   /// The connection to the replica broke while the request ran. Replica
@@ -38,7 +42,8 @@
   [[nodiscard]] bool refuses(std::uint64_t Fingerprint, TimePoint Now) const;
   void merge(const SuspectCount &FromPeer, TimePoint Now);
   [[nodiscard]] std::size_t suspects() const { return m_suspects.size(); }
-  /// The most recent suspects, to report to other daemons.
+  /// To report to other daemons: what is refused and then the other suspects,
+  /// the most recent ones first.
   [[nodiscard]] std::vector<SuspectCount> newestSuspects(TimePoint Now) const;
 
 private:
@@ -51,6 +56,11 @@
     TimePoint BrokeAt;
   };
 
+  [[nodiscard]] static bool expired(const Suspect &Value, TimePoint Now) {
+    return Now - Value.LastCrash > (Value.Crashed.size() >= MaxCrashes
+                                        ? RefusalTime
+                                        : SuspectRetention);
+  }
   Suspect &suspect(std::uint64_t Fingerprint, TimePoint Now);
 
   std::map<std::uint64_t, Suspect> m_suspects;
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -20,6 +20,7 @@
   std::uint64_t Fingerprint = 0;
   /// One name per start of a replica, sorted.
   std::vector<std::string> Crashed;
+  Milliseconds Age{0}; ///< Since the last crash.
 
   friend bool operator==(const SuspectCount &, const SuspectCount &) = default;
 };
--- a/src/nutmegdrift/gateway/crash_watch.cpp
+++ b/src/nutmegdrift/gateway/crash_watch.cpp
@@ -7,11 +7,17 @@
 
 CrashWatch::Suspect &CrashWatch::suspect(std::uint64_t Fingerprint,
                                          TimePoint Now) {
-  std::erase_if(m_suspects, [&](const auto &Entry) {
-    return Now - Entry.second.LastCrash > SuspectRetention;
-  });
-  if (m_suspects.size() >= MaxSuspects && !m_suspects.contains(Fingerprint))
-    m_suspects.erase(m_suspects.begin());
+  const auto Known = m_suspects.find(Fingerprint);
+  if (Known != m_suspects.end() && !expired(Known->second, Now))
+    return Known->second;
+  std::erase_if(m_suspects,
+                [&](const auto &Entry) { return expired(Entry.second, Now); });
+  if (m_suspects.size() >= MaxSuspects)
+    m_suspects.erase(std::min_element(
+        m_suspects.begin(), m_suspects.end(), [](const auto &A, const auto &B) {
+          return std::pair(A.second.Crashed.size(), A.second.LastCrash) <
+                 std::pair(B.second.Crashed.size(), B.second.LastCrash);
+        }));
   return m_suspects[Fingerprint];
 }
 
@@ -46,32 +52,43 @@
 
 bool CrashWatch::refuses(std::uint64_t Fingerprint, TimePoint Now) const {
   const auto It = m_suspects.find(Fingerprint);
-  return It != m_suspects.end() &&
-         Now - It->second.LastCrash <= SuspectRetention &&
+  return It != m_suspects.end() && !expired(It->second, Now) &&
          It->second.Crashed.size() >= MaxCrashes;
 }
 
 void CrashWatch::merge(const SuspectCount &FromPeer, TimePoint Now) {
+  // Without its age, a suspect would return from each daemon that has not
+  // dropped it yet, and never expire.
+  const TimePoint LastCrash = Now - FromPeer.Age;
+  Suspect Received{
+      .Crashed = {FromPeer.Crashed.begin(), FromPeer.Crashed.end()},
+      .LastCrash = LastCrash};
+  if (expired(Received, Now))
+    return;
   Suspect &Suspected = suspect(FromPeer.Fingerprint, Now);
-  const std::size_t Before = Suspected.Crashed.size();
-  Suspected.Crashed.insert(FromPeer.Crashed.begin(), FromPeer.Crashed.end());
-  if (Before == 0 || Suspected.Crashed.size() != Before)
-    Suspected.LastCrash = Now;
+  Suspected.Crashed.merge(Received.Crashed);
+  Suspected.LastCrash = std::max(Suspected.LastCrash, LastCrash);
 }
 
 std::vector<SuspectCount> CrashWatch::newestSuspects(TimePoint Now) const {
-  std::vector<std::pair<TimePoint, SuspectCount>> Newest;
+  std::vector<std::pair<std::uint64_t, const Suspect *>> Ranked;
   for (const auto &[Fingerprint, Entry] : m_suspects)
-    if (Now - Entry.LastCrash <= SuspectRetention)
-      Newest.emplace_back(Entry.LastCrash,
-                          SuspectCount{.Fingerprint = Fingerprint,
-                                       .Crashed = {Entry.Crashed.begin(),
-                                                   Entry.Crashed.end()}});
-  std::sort(Newest.begin(), Newest.end(),
-            [](const auto &A, const auto &B) { return A.first > B.first; });
+    if (!expired(Entry, Now))
+      Ranked.emplace_back(Fingerprint, &Entry);
+  const auto Rank = [](const auto &Entry) {
+    return std::tuple(Entry.second->Crashed.size() >= MaxCrashes,
+                      Entry.second->LastCrash, Entry.first);
+  };
+  std::sort(Ranked.begin(), Ranked.end(),
+            [&](const auto &A, const auto &B) { return Rank(A) > Rank(B); });
+  if (Ranked.size() > MaxReported)
+    Ranked.resize(MaxReported);
   std::vector<SuspectCount> Out;
-  for (std::size_t I = 0; I < std::min(Newest.size(), MaxReported); ++I)
-    Out.push_back(std::move(Newest[I].second));
+  for (const auto &[Fingerprint, Entry] : Ranked)
+    Out.push_back({.Fingerprint = Fingerprint,
+                   .Crashed = {Entry->Crashed.begin(), Entry->Crashed.end()},
+                   .Age = std::chrono::duration_cast<Milliseconds>(
+                       Now - Entry->LastCrash)});
   return Out;
 }
 
--- a/src/nutmegdrift/gateway/fleet_beacon.cpp
+++ b/src/nutmegdrift/gateway/fleet_beacon.cpp
@@ -16,6 +16,16 @@
 /// Heartbeats read before control returns to the event loop.
 constexpr int MaxHeartbeatsPerTurn = 64;
 
+/// Whether both name the same crashes, however long ago.
+bool sameSuspects(const std::vector<SuspectCount> &A,
+                  const std::vector<SuspectCount> &B) {
+  return std::equal(A.begin(), A.end(), B.begin(), B.end(),
+                    [](const SuspectCount &X, const SuspectCount &Y) {
+                      return X.Fingerprint == Y.Fingerprint &&
+                             X.Crashed == Y.Crashed;
+                    });
+}
+
 } // namespace
 
 void FleetView::record(const Heartbeat &Value, TimePoint Now) {
@@ -54,7 +64,7 @@
   // Rollouts are judged by the outcomes of all daemons.
   return !Current.Rollouts.empty() || Current.Ready != m_last.Ready ||
          Current.Stopping != m_last.Stopping ||
-         Current.Suspects != m_last.Suspects;
+         !sameSuspects(Current.Suspects, m_last.Suspects);
 }
 
 void HeartbeatSchedule::sent(const Heartbeat &Value, TimePoint Now) {
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -211,7 +211,8 @@
     Peers.push_back(toJson(Address));
   json Suspects = json::array();
   for (const SuspectCount &Suspect : B.Suspects)
-    Suspects.push_back(json::array({Suspect.Fingerprint, Suspect.Crashed}));
+    Suspects.push_back(json::array(
+        {Suspect.Fingerprint, Suspect.Crashed, Suspect.Age.count()}));
   json Rollouts = json::array();
   for (const RolloutStatus &Status : B.Rollouts)
     Rollouts.push_back(
@@ -265,7 +266,10 @@
     for (const json &Entry : V.at(12))
       B.Suspects.push_back(
           {.Fingerprint = Entry.at(0).get<std::uint64_t>(),
-           .Crashed = Entry.at(1).get<std::vector<std::string>>()});
+           .Crashed = Entry.at(1).get<std::vector<std::string>>(),
+           .Age = Entry.size() > 2
+                      ? std::max(decodeTime(Entry.at(2)), Milliseconds(0))
+                      : Milliseconds(0)});
     for (const json &Entry : V.at(13))
       B.Rollouts.push_back(decodeRolloutStatus(Entry));
     for (const json &Entry : V.at(14))
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -80,7 +80,7 @@
       .StateAge = 12ms,
       .Revisions = {1, 2, 3},
       .Peers = {{.Host = "10.0.0.2", .Port = 2}},
-      .Suspects = {{.Fingerprint = 5, .Crashed = {"r1", "r2"}}},
+      .Suspects = {{.Fingerprint = 5, .Crashed = {"r1", "r2"}, .Age = 70ms}},
       .Rollouts = {{.Service = "s",
                     .Version = "v2",
                     .Stage = RolloutStage::Moving,
@@ -456,6 +456,41 @@
   EXPECT_TRUE(Peer.refuses(1, Start + 3s));
 }
 
+TEST(CrashWatch, ARefusalIsReportedHoweverManySuspectsAreNewer) {
+  CrashWatch Watch;
+  constexpr std::uint64_t Refused = 9999999;
+  Watch.merge({.Fingerprint = Refused, .Crashed = {"a", "b"}}, Start);
+  for (std::uint64_t I = 0; I < 5000; ++I) {
+    const std::string Replica = std::to_string(I);
+    Watch.connectionBroke(I, Replica, Start + 1s);
+    Watch.markUnreachable(Replica, Start + 1s);
+  }
+  EXPECT_TRUE(Watch.refuses(Refused, Start + 2s));
+  const auto Reported = Watch.newestSuspects(Start + 2s);
+  ASSERT_FALSE(Reported.empty());
+  EXPECT_EQ(Reported.front().Fingerprint, Refused);
+  EXPECT_EQ(Reported.front().Age, 2s);
+  EXPECT_LE(Reported.size(), CrashWatch::MaxReported);
+}
+
+// Two daemons that drop a suspect at different times must not hand it back and
+// forth.
+TEST(CrashWatch, ASuspectThatOthersStillReportExpires) {
+  CrashWatch Early;
+  CrashWatch Late;
+  Early.merge({.Fingerprint = 5, .Crashed = {"a", "b"}}, Start);
+  for (TimePoint Now = Start; Now < Start + 2 * CrashWatch::RefusalTime;
+       Now += 10s) {
+    for (const SuspectCount &Suspect : Early.newestSuspects(Now))
+      Late.merge(Suspect, Now + 100ms);
+    for (const SuspectCount &Suspect : Late.newestSuspects(Now + 200ms))
+      Early.merge(Suspect, Now + 300ms);
+  }
+  const TimePoint End = Start + 2 * CrashWatch::RefusalTime;
+  EXPECT_FALSE(Early.refuses(5, End));
+  EXPECT_FALSE(Late.refuses(5, End));
+}
+
 TEST(IdleLimit, ShrinksWithLossesAndRecovers) {
   IdleLimit Limit;
   for (int I = 0; I < 10; ++I)
