Quarantine prompt parts that crash the replicas that process them

Callers: streams cut and 502 while one replica after the other crashed. Cause: crashes were counted by the hash of key, path and body, so requests with one part in common were never refused; and a crash counted only if some other request happened to fail to connect within two seconds. Change: a broken connection is followed by a connection attempt, which a crashed replica refuses at once. The VM reports the request to the service's dispatcher, which knows the parts and begun answers of all VMs. PartCrashes compares them: a part with crashes and no begun answer since is quarantined when so many crashes in a row are unlikely for a part that fails as often as the others. Parts that always crashed together are refused together until a sound request with one of them begins. PromptQuarantine is sent to all VMs at once and in each heartbeat, and outlives each of them. Requests are refused with 503 on arrival and again before each attempt.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -12,6 +12,8 @@
 #include "nutmegdrift/gateway/fleet_state.h"
 #include "nutmegdrift/gateway/gateway_metrics.h"
 #include "nutmegdrift/gateway/placement.h"
+#include "nutmegdrift/gateway/prompt_quarantine.h"
+#include "nutmegdrift/gateway/replica_probe.h"
 #include "nutmegdrift/gateway/settings.h"
 #include "nutmegdrift/net/http_server.h"
 #include "nutmegdrift/policy/load_shedder.h"
@@ -28,8 +30,10 @@
   const Dialect &Headers;
   FleetState &State;
   EndpointPool &Pool;
+  ReplicaProbe &Probe;
   Placement &ModelPlacement;
   CrashWatch &Crashes;
+  PromptQuarantine &Quarantine;
   policy::LoadShedder &Shedder;
   GatewayMetrics &Metrics;
   Random &Rng;
@@ -78,6 +82,8 @@
   std::optional<Error> checkLoad();
   std::optional<Error> checkDeadline();
   std::optional<Error> checkCrashes();
+  /// The refusal of a request that crashes replicas, also before each attempt.
+  [[nodiscard]] std::optional<Error> refuseCrashing() const;
   std::optional<Error> checkStopping();
 
   void chooseReplica();
@@ -96,8 +102,8 @@
 
   void forwardAnswer();
   void beginStream();
-  /// Crashes: see CrashWatch::markUnreachable().
-  void logCrash(const std::vector<std::size_t> &Crashes);
+  /// The connection broke; finds out whether the replica crashed.
+  void probeReplica();
   void attemptRefused();
   void attemptFailed(routing::ReplicaOutcome Outcome, std::string_view Cause);
   bool retry(bool MayHaveRun, std::string_view Cause);
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -25,6 +25,17 @@
   friend bool operator==(const SuspectCount &, const SuspectCount &) = default;
 };
 
+/// Requests to the service whose prompts have all of these parts crash
+/// replicas.
+struct QuarantinedParts {
+  std::string Service;
+  std::vector<std::uint64_t> Parts; ///< Sorted.
+  Milliseconds Age{0};              ///< Since the last crash.
+
+  friend bool operator==(const QuarantinedParts &,
+                         const QuarantinedParts &) = default;
+};
+
 enum class RolloutStage { Canary, Moving, Completed, RolledBack };
 
 /// "canary", "moving", "completed" or "rolled-back".
@@ -73,6 +84,7 @@
   std::vector<RolloutOutcome> Outcomes; ///< Since the last heartbeat.
   /// Longest time to the daemon's next heartbeat.
   Milliseconds Interval{500};
+  std::vector<QuarantinedParts> Quarantine;
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
@@ -114,9 +126,21 @@
                          const StartedReport &) = default;
 };
 
+/// The replica of a request crashed before its answer had begun, or just after.
+struct CrashReport {
+  std::string Service;
+  routing::ReplicaId Replica;
+  std::vector<std::uint64_t> Parts; ///< See routing::sharedParts().
+  Milliseconds SentAgo{0};
+
+  friend bool operator==(const CrashReport &, const CrashReport &) = default;
+};
+
 struct EndedReport {
   std::uint64_t Sequence = 0;
   routing::ReplicaOutcome Outcome = routing::ReplicaOutcome::Served;
+  /// Sent in a second report of the request, once the crash is certain.
+  std::optional<CrashReport> Crash{};
   friend bool operator==(const EndedReport &, const EndedReport &) = default;
 };
 
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -68,6 +68,8 @@
   void onMetrics(net::ServerExchange &Exchange);
   [[nodiscard]] Heartbeat composeHeartbeat();
   void onHeartbeat(const Heartbeat &Received);
+  void onQuarantine(const std::string &Service,
+                    const routing::PartVerdict &Verdict);
   [[nodiscard]] std::vector<DispatcherCandidate> candidates();
   [[nodiscard]] std::optional<HostPort> addressOf(const DaemonName &Daemon);
   [[nodiscard]] std::vector<HostPort> directoryAddresses();
@@ -91,7 +93,9 @@
   FleetState m_state;
   GatewayMetrics m_metrics;
   CrashWatch m_crashes;
+  PromptQuarantine m_quarantine;
   EndpointPool m_pool;
+  ReplicaProbe m_probe;
   FleetBeacon m_beacon;
   Placement m_placement;
   std::map<std::string, policy::RetryBudget> m_budgets;
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -74,6 +74,10 @@
     std::function<std::optional<HostPort>(const DaemonName &)> AddressOf;
     /// Whether the daemon's heartbeats were received once and are missed now.
     std::function<bool(const DaemonName &)> IsLost;
+    /// Requests of the service with these prompt parts crash replicas.
+    std::function<void(const std::string &Service,
+                       const routing::PartVerdict &)>
+        OnQuarantine;
     std::uint64_t Seed = 0;
   };
 
@@ -99,6 +103,11 @@
   /// sending of the request.
   void started(routing::RequestKey Key, Duration TimeToFirstEvent);
 
+  /// The replica of a request crashed before the answer had begun, or just
+  /// after.
+  void crashed(const std::string &Service,
+               const routing::CrashedRequest &Request);
+
   /// The service's dispatcher in this daemon's view: the best candidate that
   /// this daemon can reach. Empty before the first replicas are known.
   [[nodiscard]] DaemonName dispatcherOf(const std::string &Service) const;
@@ -159,6 +168,9 @@
                            const PlacementMessage &Message);
   void onClientMessage(Client &Requester, const PlacementMessage &Message);
   void onClientDisconnected(Client &Lost);
+  void countCrash(const std::string &Service,
+                  const routing::CrashedRequest &Request);
+  void reportVerdicts(const std::string &Service);
   void reclaimRequests(const DaemonName &DispatcherName);
   void logSummary();
 
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -5,6 +5,7 @@
 #include "nutmegdrift/base/random.h"
 #include "nutmegdrift/routing/cold_allowance.h"
 #include "nutmegdrift/routing/engine_estimate.h"
+#include "nutmegdrift/routing/part_crashes.h"
 #include "nutmegdrift/routing/replica_table.h"
 
 #include <optional>
@@ -151,6 +152,14 @@
                std::optional<Duration> AtEngine = std::nullopt);
   void ended(RequestKey Key, ReplicaOutcome Outcome, TimePoint Now);
 
+  /// See PartCrashes::crashed().
+  void crashed(const CrashedRequest &Request, TimePoint Now) {
+    m_partCrashes.crashed(Request, Now);
+  }
+  std::vector<PartVerdict> takeVerdicts() {
+    return m_partCrashes.takeVerdicts();
+  }
+
   [[nodiscard]] std::size_t queued() const { return m_queued; }
   [[nodiscard]] std::size_t running() const { return m_engineByRequest.size(); }
   [[nodiscard]] const DispatcherTotals &totals() const { return m_totals; }
@@ -282,6 +291,7 @@
   /// Largest Served of all queues, as of the last pump().
   double m_maxServed = 0.0;
   std::unordered_map<RequestKey, ReplicaId> m_engineByRequest;
+  PartCrashes m_partCrashes;
   /// Refused requests by the id of their last prompt part, with the time until
   /// which a retry counts as returned.
   std::unordered_map<std::uint64_t, TimePoint> m_expectedReturns;
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -46,7 +46,6 @@
       answerError(*Failure);
       return;
     }
-  m_service = routing::RoutingTable::pickService(*m_route, uniform(m_env.Rng));
   m_exchange->OnCallerDisconnected = [Self = weak_from_this()] {
     if (const auto Alive = Self.lock())
       Alive->onCallerDisconnected();
@@ -91,6 +90,7 @@
   m_route = m_table->match(*Host, Request.Target);
   if (!m_route)
     return Error{ErrorKind::UnknownTarget, "no route for this host and path"};
+  m_service = routing::RoutingTable::pickService(*m_route, uniform(m_env.Rng));
   return std::nullopt;
 }
 
@@ -166,13 +166,24 @@
   const net::HttpRequest &Request = m_exchange->request();
   m_fingerprint = hashText(Request.Body,
                            hashText(Request.Target, hashText(m_metadata.Key)));
-  if (!m_env.Crashes.refuses(m_fingerprint, m_env.Clk.now()))
+  return refuseCrashing();
+}
+
+std::optional<Error> Call::refuseCrashing() const {
+  const TimePoint Now = m_env.Clk.now();
+  const bool PartRefused =
+      m_env.Quarantine.size() > 0 &&
+      m_env.Quarantine.refuses(m_service,
+                               routing::sharedParts(m_metadata.Prompt), Now);
+  if (!PartRefused && !m_env.Crashes.refuses(m_fingerprint, Now))
     return std::nullopt;
   // 503 instead of the 422 that the error table has for such requests: the
   // request did not run, and a fault of the service must not look like a fault
   // of the caller.
   return Error{.Kind = ErrorKind::NoEndpoint,
-               .Message = "this request crashed several replicas",
+               .Message = PartRefused
+                              ? "a part of this prompt crashed several replicas"
+                              : "this request crashed several replicas",
                .RetryAfter = CrashRetryAfter};
 }
 
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -56,6 +56,19 @@
   return std::to_string(Time.count() / 1000) + "." + Fraction;
 }
 
+/// Crashes: see CrashWatch::markUnreachable().
+void logCrash(CallEnvironment &Env, const routing::ReplicaId &Replica,
+              const std::vector<std::size_t> &Crashes) {
+  if (Crashes.empty())
+    return;
+  Env.Metrics.replicaCrashed();
+  Env.Log.line(LogClass::Fault, "replica.crashed",
+               {{"replica", Replica},
+                {"requests", std::to_string(Crashes.size())},
+                {"most_crashes", std::to_string(*std::max_element(
+                                     Crashes.begin(), Crashes.end()))}});
+}
+
 } // namespace
 
 void Call::send(const routing::ReplicaId &Id) {
@@ -69,7 +82,10 @@
     onDeadline();
     return;
   }
-  if (const auto Failure = checkKeyAgain()) {
+  auto Failure = checkKeyAgain();
+  if (!Failure)
+    Failure = refuseCrashing();
+  if (Failure) {
     if (m_placementKey) {
       m_env.ModelPlacement.ended(*m_placementKey, ReplicaOutcome::Refused);
       m_placementKey.reset();
@@ -304,7 +320,7 @@
   const bool Reused = m_connection->reused();
   if (Failure == ClientFailure::ConnectFailed) {
     --m_attempts;
-    logCrash(m_env.Crashes.markUnreachable(m_replica, m_env.Clk.now()));
+    m_env.Crashes.markUnreachable(m_replica, m_env.Clk.now());
     releaseReplica(ReplicaOutcome::Unreachable);
     if (m_lastError.Message.empty())
       m_lastError = {ErrorKind::NoEndpoint, "the replica can't be reached"};
@@ -315,7 +331,7 @@
   }
   if (Reused && !m_head)
     m_env.Pool.recordReuse(true);
-  m_env.Crashes.connectionBroke(m_fingerprint, m_replica, m_env.Clk.now());
+  probeReplica();
   m_mayHaveRun = true;
   // A reused connection can break without a fault of the replica.
   attemptFailed(Reused && !m_head ? ReplicaOutcome::Abandoned
@@ -323,15 +339,29 @@
                 net::toString(Failure));
 }
 
-void Call::logCrash(const std::vector<std::size_t> &Crashes) {
-  if (Crashes.empty())
+void Call::probeReplica() {
+  const TimePoint Now = m_env.Clk.now();
+  m_env.Crashes.connectionBroke(m_fingerprint, m_replica, Now);
+  const routing::Replica *Broken = m_env.State.Replicas.find(m_replica);
+  if (!Broken)
     return;
-  m_env.Metrics.replicaCrashed();
-  m_env.Log.line(LogClass::Fault, "replica.crashed",
-                 {{"replica", m_replica},
-                  {"requests", std::to_string(Crashes.size())},
-                  {"most_crashes", std::to_string(*std::max_element(
-                                       Crashes.begin(), Crashes.end()))}});
+  // An answer that began long before can't be the cause.
+  const bool Suspect = m_placementKey &&
+                       (m_firstByteAt == TimePoint{} ||
+                        Now - m_firstByteAt < routing::PartCrashes::ProofDelay);
+  m_env.Probe.start(
+      m_replica, Broken->Record.Address,
+      [&Env = m_env, Service = m_service, Suspect,
+       Request = routing::CrashedRequest{
+           .Key = m_placementKey.value_or(0),
+           .Replica = m_replica,
+           .Parts = routing::sharedParts(m_metadata.Prompt),
+           .SentAt = m_sentAt}] {
+        logCrash(Env, Request.Replica,
+                 Env.Crashes.markUnreachable(Request.Replica, Env.Clk.now()));
+        if (Suspect)
+          Env.ModelPlacement.crashed(Service, Request);
+      });
 }
 
 void Call::attemptRefused() {
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -125,7 +125,11 @@
     return json::array({2, M.Sequence, M.TimeToFirstEvent.count()});
   }
   json operator()(const EndedReport &M) const {
-    return json::array({3, M.Sequence, static_cast<int>(M.Outcome)});
+    json Out = json::array({3, M.Sequence, static_cast<int>(M.Outcome)});
+    if (M.Crash)
+      Out.push_back(json::array({M.Crash->Service, M.Crash->Replica,
+                                 M.Crash->Parts, M.Crash->SentAgo.count()}));
+    return Out;
   }
   json operator()(const PlaceGrant &M) const {
     return json::array({4, M.Sequence, M.Replica, M.FetchFrom});
@@ -162,6 +166,22 @@
           .Sender = optionalField<std::string>(V, 15)};
 }
 
+EndedReport decodeEndedReport(const json &V) {
+  const int Outcome = V.at(2).get<int>();
+  if (Outcome < 0 ||
+      Outcome > static_cast<int>(routing::ReplicaOutcome::Abandoned))
+    throw std::out_of_range("outcome");
+  EndedReport Report{.Sequence = V.at(1).get<std::uint64_t>(),
+                     .Outcome = static_cast<routing::ReplicaOutcome>(Outcome)};
+  if (V.size() > 3)
+    Report.Crash =
+        CrashReport{.Service = V.at(3).at(0).get<std::string>(),
+                    .Replica = V.at(3).at(1).get<std::string>(),
+                    .Parts = V.at(3).at(2).get<std::vector<std::uint64_t>>(),
+                    .SentAgo = decodeTime(V.at(3).at(3))};
+  return Report;
+}
+
 PlacementMessage decodeMessage(const json &V) {
   switch (V.at(0).get<int>()) {
   case 0:
@@ -171,15 +191,8 @@
   case 2:
     return StartedReport{.Sequence = V.at(1).get<std::uint64_t>(),
                          .TimeToFirstEvent = decodeTime(V.at(2))};
-  case 3: {
-    const int Outcome = V.at(2).get<int>();
-    if (Outcome < 0 ||
-        Outcome > static_cast<int>(routing::ReplicaOutcome::Abandoned))
-      throw std::out_of_range("outcome");
-    return EndedReport{.Sequence = V.at(1).get<std::uint64_t>(),
-                       .Outcome =
-                           static_cast<routing::ReplicaOutcome>(Outcome)};
-  }
+  case 3:
+    return decodeEndedReport(V);
   case 4:
     return PlaceGrant{.Sequence = V.at(1).get<std::uint64_t>(),
                       .Replica = V.at(2).get<std::string>(),
@@ -221,6 +234,10 @@
   json Outcomes = json::array();
   for (const RolloutOutcome &Outcome : B.Outcomes)
     Outcomes.push_back(toJson(Outcome));
+  json Quarantine = json::array();
+  for (const QuarantinedParts &Entry : B.Quarantine)
+    Quarantine.push_back(
+        json::array({Entry.Service, Entry.Parts, Entry.Age.count()}));
   json Out = json::array();
   Out = {FormatVersion,
          B.Daemon,
@@ -237,7 +254,8 @@
          std::move(Suspects),
          std::move(Rollouts),
          std::move(Outcomes),
-         B.Interval.count()};
+         B.Interval.count(),
+         std::move(Quarantine)};
   return toMsgpack(Out);
 }
 
@@ -276,6 +294,12 @@
       B.Outcomes.push_back(decodeRolloutOutcome(Entry));
     if (V.size() > 15)
       B.Interval = decodeTime(V.at(15));
+    if (V.size() > 16)
+      for (const json &Entry : V.at(16))
+        B.Quarantine.push_back(
+            {.Service = Entry.at(0).get<std::string>(),
+             .Parts = Entry.at(1).get<std::vector<std::uint64_t>>(),
+             .Age = std::max(decodeTime(Entry.at(2)), Milliseconds(0))});
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -46,7 +46,7 @@
       m_boot(hashText(m_settings.Name,
                       static_cast<std::uint64_t>(
                           Clk.wallNow().time_since_epoch().count()))),
-      m_random(m_boot), m_pool(Loop, Clk),
+      m_random(m_boot), m_pool(Loop, Clk), m_probe(Loop, Clk),
       m_beacon(
           Loop, Clk, Log, m_settings.Internal,
           {.Compose = [this] { return composeHeartbeat(); },
@@ -67,6 +67,11 @@
                [this](const DaemonName &Daemon) {
                  return m_beacon.view().lost(Daemon, m_clock.now());
                },
+           .OnQuarantine =
+               [this](const std::string &Service,
+                      const routing::PartVerdict &Verdict) {
+                 onQuarantine(Service, Verdict);
+               },
            .Seed = m_boot}),
       m_callEnvironment{.Loop = Loop,
                         .Clk = Clk,
@@ -75,8 +80,10 @@
                         .Headers = Headers,
                         .State = m_state,
                         .Pool = m_pool,
+                        .Probe = m_probe,
                         .ModelPlacement = m_placement,
                         .Crashes = m_crashes,
+                        .Quarantine = m_quarantine,
                         .Shedder = m_shedder,
                         .Metrics = m_metrics,
                         .Rng = m_random,
@@ -272,13 +279,18 @@
           .Revisions =
               m_hooks.LatestRevisions ? m_hooks.LatestRevisions() : Revisions{},
           .Suspects = m_crashes.newestSuspects(Now),
-          .Rollouts = m_state.Rollouts.statuses(Now)};
+          .Rollouts = m_state.Rollouts.statuses(Now),
+          .Quarantine = m_quarantine.report(Now)};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
   const TimePoint Now = m_clock.now();
   for (const SuspectCount &Suspect : Received.Suspects)
     m_crashes.merge(Suspect, Now);
+  for (const QuarantinedParts &Entry : Received.Quarantine)
+    if (m_quarantine.merge(Entry, Now))
+      m_log.line(LogClass::State, "prompt.quarantine_received",
+                 {{"service", Entry.Service}, {"from", Received.Daemon}});
   if (m_state.Table && Received.StateAge.count() >= 0 &&
       Received.StateVersion == m_state.Table->state().Version)
     m_state.Freshness.confirmedByPeer(Received.StateAge, Now);
@@ -288,6 +300,21 @@
     m_hooks.OnHeartbeat(Received);
 }
 
+void Gateway::onQuarantine(const std::string &Service,
+                           const routing::PartVerdict &Verdict) {
+  std::string Parts;
+  for (const std::uint64_t Part : Verdict.Parts)
+    Parts += (Parts.empty() ? "" : " ") + std::to_string(Part);
+  std::string Replicas;
+  for (const routing::ReplicaId &Replica : Verdict.Crashed)
+    Replicas += (Replicas.empty() ? "" : " ") + Replica;
+  m_log.line(LogClass::State, "prompt.quarantined",
+             {{"service", Service}, {"parts", Parts}, {"crashed", Replicas}});
+  m_quarantine.merge({.Service = Service, .Parts = Verdict.Parts},
+                     m_clock.now());
+  m_beacon.sendNow();
+}
+
 std::vector<DispatcherCandidate> Gateway::candidates() {
   std::vector<DispatcherCandidate> Out;
   const TimePoint Now = m_clock.now();
@@ -361,6 +388,7 @@
        {"waiting", std::to_string(m_placement.waiting())},
        {"daemons", std::to_string(daemons())},
        {"suspects", std::to_string(m_crashes.suspects())},
+       {"quarantined", std::to_string(m_quarantine.size())},
        {"refused_percent",
         std::to_string(static_cast<int>(100 * m_shedder.refusedShare()))},
        {"lag_ms",
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -91,7 +91,8 @@
                                .FromNewVersion = true,
                                .Failed = true,
                                .FirstToken = 3ms,
-                               .TokenGap = 2us}}}};
+                               .TokenGap = 2us}}},
+      .Quarantine = {{.Service = "s", .Parts = {1, ~0ULL}, .Age = 5ms}}};
   EXPECT_EQ(decodeHeartbeat(encode(Sent)), Sent);
   EXPECT_FALSE(decodeHeartbeat("no beat"));
   const PlacementMessage Messages[] = {
@@ -110,6 +111,12 @@
       StartedReport{.Sequence = 3, .TimeToFirstEvent = Milliseconds(40)},
       EndedReport{.Sequence = 4,
                   .Outcome = routing::ReplicaOutcome::Unresponsive},
+      EndedReport{.Sequence = 4,
+                  .Outcome = routing::ReplicaOutcome::Failed,
+                  .Crash = CrashReport{.Service = "s",
+                                       .Replica = "r",
+                                       .Parts = {1, ~0ULL},
+                                       .SentAgo = Milliseconds(3)}},
       PlaceGrant{.Sequence = 5, .Replica = "r", .FetchFrom = "r2"},
       PlaceRefusal{
           .Sequence = 6, .RetryAfter = 400ms, .PredictedFirstToken = 900ms},
@@ -491,6 +498,38 @@
   EXPECT_FALSE(Late.refuses(5, End));
 }
 
+TEST(PromptQuarantine, RefusesOnlyPromptsWithAllParts) {
+  PromptQuarantine Entries;
+  EXPECT_TRUE(Entries.merge({.Service = "s", .Parts = {7, 9}}, Start));
+  EXPECT_FALSE(Entries.merge({.Service = "s", .Parts = {7, 9}}, Start));
+  EXPECT_TRUE(Entries.refuses("s", {1, 9, 7}, Start + 1s));
+  EXPECT_FALSE(Entries.refuses("s", {1, 9}, Start + 1s));
+  EXPECT_FALSE(Entries.refuses("other", {7, 9}, Start + 1s));
+}
+
+// Two daemons that drop an entry at different times must not hand it back and
+// forth, and one that starts later learns of it.
+TEST(PromptQuarantine, ReachesOthersAndExpires) {
+  PromptQuarantine Early;
+  PromptQuarantine Late;
+  for (std::uint64_t Part = 1; Part <= 100; ++Part)
+    Early.merge({.Service = "s", .Parts = {Part}}, Start);
+  TimePoint Now = Start + 10min;
+  for (; Now < Start + 12min; Now += 500ms)
+    for (const QuarantinedParts &Entry : Early.report(Now))
+      Late.merge(Entry, Now + 100ms);
+  for (std::uint64_t Part = 1; Part <= 100; ++Part)
+    EXPECT_TRUE(Late.refuses("s", {Part}, Now));
+  for (; Now < Start + 2 * PromptQuarantine::RefusalTime; Now += 10s) {
+    for (const QuarantinedParts &Entry : Early.report(Now))
+      Late.merge(Entry, Now + 100ms);
+    for (const QuarantinedParts &Entry : Late.report(Now + 200ms))
+      Early.merge(Entry, Now + 300ms);
+  }
+  EXPECT_FALSE(Early.refuses("s", {7}, Now));
+  EXPECT_FALSE(Late.refuses("s", {7}, Now));
+}
+
 TEST(IdleLimit, ShrinksWithLossesAndRecovers) {
   IdleLimit Limit;
   for (int I = 0; I < 10; ++I)
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -688,12 +688,20 @@
     Requester.requests().erase(Withdrawn->Sequence);
     schedulePump();
   } else if (const auto *Started = std::get_if<StartedReport>(&Message)) {
-    if (const std::string *Service = ServiceOf(Started->Sequence))
+    if (const std::string *Service = ServiceOf(Started->Sequence)) {
       dispatcher(*Service).started(
           clientKey(Requester.number(), Started->Sequence), Now,
           Started->TimeToFirstEvent);
+      reportVerdicts(*Service);
+    }
     schedulePump();
   } else if (const auto *Ended = std::get_if<EndedReport>(&Message)) {
+    if (Ended->Crash)
+      countCrash(Ended->Crash->Service,
+                 {.Key = clientKey(Requester.number(), Ended->Sequence),
+                  .Replica = Ended->Crash->Replica,
+                  .Parts = Ended->Crash->Parts,
+                  .SentAt = Now - Ended->Crash->SentAgo});
     if (const std::string *Service = ServiceOf(Ended->Sequence))
       dispatcher(*Service).ended(clientKey(Requester.number(), Ended->Sequence),
                                  Ended->Outcome, Now);
@@ -722,6 +730,7 @@
   TimeToFirstEvent = std::max(TimeToFirstEvent - m_lag, Duration{0});
   dispatcher(Entry->second.Service)
       .started(Key, m_env.Clk.now(), TimeToFirstEvent);
+  reportVerdicts(Entry->second.Service);
   if (!Entry->second.Dispatcher.empty())
     if (const auto Target = m_links.find(Entry->second.Dispatcher);
         Target != m_links.end() && Target->second->connected())
@@ -754,6 +763,32 @@
       EndedReport{.Sequence = Key, .Outcome = Outcome});
 }
 
+void Placement::countCrash(const std::string &Service,
+                           const routing::CrashedRequest &Request) {
+  dispatcher(Service).crashed(Request, m_env.Clk.now());
+  reportVerdicts(Service);
+}
+
+void Placement::reportVerdicts(const std::string &Service) {
+  for (const routing::PartVerdict &Verdict : dispatcher(Service).takeVerdicts())
+    m_env.OnQuarantine(Service, Verdict);
+}
+
+void Placement::crashed(const std::string &Service,
+                        const routing::CrashedRequest &Request) {
+  countCrash(Service, Request);
+  const auto Target = m_links.find(dispatcherOf(Service));
+  if (Target == m_links.end() || !Target->second->connected())
+    return;
+  Target->second->send(EndedReport{
+      .Sequence = Request.Key,
+      .Outcome = ReplicaOutcome::Failed,
+      .Crash = CrashReport{.Service = Service,
+                           .Replica = Request.Replica,
+                           .Parts = Request.Parts,
+                           .SentAgo = toMs(m_env.Clk.now() - Request.SentAt)}});
+}
+
 std::size_t Placement::waiting() const {
   return static_cast<std::size_t>(std::count_if(
       m_localRequests.begin(), m_localRequests.end(), [](const auto &Entry) {
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -598,6 +598,7 @@
   if (Now < Choice.Destination->ColdUntil && m_coldPerSecond > 0)
     Choice.Destination->Cold.consume();
   m_engineByRequest[Placed.Request.Key] = Choice.Destination->Id;
+  m_partCrashes.sent(Placed.Request.Key, Placed.Request.Prompt);
 }
 
 bool ModelDispatcher::placeOne(WorkspaceQueue &Queue, bool TargetMissed,
@@ -745,10 +746,12 @@
                                    Request.OutputTokens, Started, Now,
                                    Request.ReportDelay);
   m_engineByRequest[Request.Key] = Destination;
+  m_partCrashes.sent(Request.Key, Request.Prompt);
 }
 
 void ModelDispatcher::started(RequestKey Key, TimePoint Now,
                               std::optional<Duration> AtEngine) {
+  m_partCrashes.started(Key, Now);
   const auto Placed = m_engineByRequest.find(Key);
   if (Placed == m_engineByRequest.end())
     return;
@@ -759,6 +762,7 @@
 
 void ModelDispatcher::ended(RequestKey Key, ReplicaOutcome Outcome,
                             TimePoint Now) {
+  m_partCrashes.ended(Key);
   const auto Placed = m_engineByRequest.find(Key);
   if (Placed == m_engineByRequest.end())
     return;
