Treat a stream that ends with its connection within an event as broken off

Callers: a stream without a length or chunks that broke off within an event reached them as a complete chunked answer. Cause: only chunked resumable streams were cut at events; any other answer without a length counted as complete when the replica closed in order. Change: event streams that end with their connection pass through EventCutter; one that ends within an event, or before the first, is a failed attempt, which is resumed where the route allows it and reset towards the caller otherwise. Ruled out: requiring the boundary of chunked streams too; their framing already tells a break.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -144,8 +144,9 @@
   bool m_unresponsive = false; ///< The replica was reported as unresponsive.
   bool m_reading = true;       ///< False while the caller reads too slowly.
   EventCutter m_events;
-  std::string m_resumeAfter;  ///< Id of the last complete event forwarded.
-  bool m_passThrough = false; ///< Forward the body as it arrives.
+  std::string m_resumeAfter;     ///< Id of the last complete event forwarded.
+  bool m_passThrough = false;    ///< Forward the body as it arrives.
+  bool m_unframedEvents = false; ///< Events that end with the connection.
 
   TimePoint m_sentAt{};
   TimePoint m_firstByteAt{};   ///< Of the body; zero until it begins.
--- a/include/nutmegdrift/gateway/event_cutter.h
+++ b/include/nutmegdrift/gateway/event_cutter.h
@@ -19,6 +19,8 @@
   std::string put(std::string_view Bytes);
   /// Returns and removes the buffered bytes.
   std::string takePartialEvent() { return std::move(m_partial); }
+  /// Whether the bytes so far end within an event.
+  [[nodiscard]] bool withinEvent() const { return !m_partial.empty(); }
   void clear() { m_partial.clear(); }
   /// Id of the last complete event that has one.
   [[nodiscard]] const std::string &lastId() const { return m_lastId; }
--- a/src/nutmegdrift/gateway/broken_replica_test.cpp
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -223,6 +223,46 @@
   EXPECT_EQ(RawEnd, net::StreamEnd::Reset);
 }
 
+std::string unframedStream(const std::string &Request,
+                           const std::string &Events) {
+  return headOf(Request) + "Content-Type: text/event-stream\r\n\r\n" + Events;
+}
+
+// A stream that ended with its connection, within an event, looked complete.
+TEST_F(BrokenReplica, AnUnframedStreamThatEndsWithinAnEventIsNotComplete) {
+  const std::string Events = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+  for (std::size_t Sent = 0; Sent <= Events.size(); ++Sent) {
+    rawReplica([&, Sent](const std::string &Request) {
+      return RawReply{.Bytes = unframedStream(Request, Events.substr(0, Sent)),
+                      .Then = AfterReply::Close};
+    });
+    const bool WithinEvent = Sent != 15 && Sent != Events.size();
+    const Answer Received = call("/stream/x");
+    EXPECT_EQ(Received.Failure || Received.Status >= 500, WithinEvent) << Sent;
+    if (!WithinEvent) {
+      EXPECT_EQ(Received.Body, Events.substr(0, Sent));
+    }
+    Daemon->state().Replicas.remove("raw" + std::to_string(RawReplicas.size()),
+                                    std::nullopt);
+    Daemon->replicasChanged();
+  }
+}
+
+TEST_F(BrokenReplica, AnUnframedStreamThatBreaksOffIsResumed) {
+  const auto Script = [](const std::string &Request) {
+    const bool Resumed = fieldOf(Request, "After") == "1";
+    return RawReply{
+        .Bytes = unframedStream(Request, Resumed ? "id: 2\ndata: b\n\n"
+                                                 : "id: 1\ndata: a\n\nid: 2\n"),
+        .Then = AfterReply::Close};
+  };
+  rawReplica(Script);
+  rawReplica(Script);
+  const Answer Received = call("/resume/x");
+  EXPECT_FALSE(Received.Failure);
+  EXPECT_EQ(Received.Body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 // A stream that sends a byte now and then, but no event, must end at the
 // route's time, and its caller must be able to tell that it is not complete.
 TEST_F(BrokenReplica, AStreamThatOnlyDripsEndsAtTheRoutesTime) {
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -184,6 +184,11 @@
   m_head = std::move(Head);
   m_passThrough = routing::isStream(m_route->Kind) &&
                   isSuccess(m_head->Status) && m_answerMetadata.Signed;
+  m_unframedEvents = m_passThrough && !m_head->Chunked &&
+                     !m_head->ContentLength &&
+                     m_head->Headers.find("Content-Type")
+                         .value_or("")
+                         .starts_with("text/event-stream");
 }
 
 void Call::onBody(std::string_view Body) {
@@ -204,8 +209,9 @@
   }
   if (!m_streaming)
     beginStream();
-  if (m_route->Kind == routing::RequestKind::ResumableStream &&
-      m_head->Chunked) {
+  if (m_unframedEvents ||
+      (m_route->Kind == routing::RequestKind::ResumableStream &&
+       m_head->Chunked)) {
     const std::string CompleteEvents = m_events.put(Body);
     m_exchange->write(CompleteEvents);
     if (!m_events.lastId().empty())
@@ -282,6 +288,10 @@
     forwardAnswer();
     return;
   }
+  if (m_unframedEvents && (m_events.withinEvent() || m_bodyBytes == 0)) {
+    attemptFailed(ReplicaOutcome::Failed, "closed-within-event");
+    return;
+  }
   if (m_streaming) {
     if (m_route->Kind == routing::RequestKind::ResumableStream)
       m_exchange->write(m_events.takePartialEvent());
