Read the request rate that replicas name, and log it

Cause: no line or metric mentions a limit, so nothing shows who knows it. Change: AnswerMetadata has the rate; ReplicaLimits keeps the newest of each replica; events replica.limited and replica.unlimited, limited_replicas= in daemon.load. Nothing acts on it yet.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -92,6 +92,7 @@
   void onModelDecision(const routing::ModelDecision &Decision);
   void send(const routing::ReplicaId &Id);
   void onHead(net::HttpAnswerHead Head);
+  void observeLimit();
   void onBody(std::string_view Body);
   void onEnd();
   void onFailure(net::ClientFailure Failure);
--- a/include/nutmegdrift/gateway/dialect.h
+++ b/include/nutmegdrift/gateway/dialect.h
@@ -42,6 +42,9 @@
   std::string Id;      ///< Of the request that it answers.
   bool NotRun = false; ///< The replica did not run the request.
   bool Signed = false; ///< Has the replica's signature.
+  /// Requests per second that the replica accepts from all callers together;
+  /// none: it named no limit.
+  std::optional<double> RateLimit{};
 
   friend bool operator==(const AnswerMetadata &,
                          const AnswerMetadata &) = default;
--- a/include/nutmegdrift/gateway/fleet_state.h
+++ b/include/nutmegdrift/gateway/fleet_state.h
@@ -5,6 +5,7 @@
 
 #include "nutmegdrift/gateway/fleet_rollouts.h"
 #include "nutmegdrift/routing/desired_state.h"
+#include "nutmegdrift/routing/replica_limits.h"
 #include "nutmegdrift/routing/replica_table.h"
 
 #include <memory>
@@ -48,6 +49,7 @@
   /// was matched against.
   std::shared_ptr<const routing::RoutingTable> Table;
   routing::ReplicaTable Replicas;
+  routing::ReplicaLimits Limits;
   FleetRollouts Rollouts;
   StateFreshness Freshness;
   bool Stopping = false;
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -181,6 +181,7 @@
     return;
   m_responseTimer.cancel();
   m_answerMetadata = m_env.Headers.readAnswer(Head);
+  observeLimit();
   m_head = std::move(Head);
   m_passThrough = routing::isStream(m_route->Kind) &&
                   isSuccess(m_head->Status) && m_answerMetadata.Signed;
@@ -191,6 +192,20 @@
                          .starts_with("text/event-stream");
 }
 
+void Call::observeLimit() {
+  const TimePoint Now = m_env.Clk.now();
+  const bool Before = m_env.State.Limits.find(m_replica, Now).has_value();
+  m_env.State.Limits.observe(m_service, m_replica, m_answerMetadata.RateLimit,
+                             Now);
+  const auto Limit = m_env.State.Limits.find(m_replica, Now);
+  if (Limit.has_value() != Before)
+    m_env.Log.line(LogClass::State,
+                   Limit ? "replica.limited" : "replica.unlimited",
+                   {{"service", m_service},
+                    {"replica", m_replica},
+                    {"per_second", Limit ? std::to_string(*Limit) : ""}});
+}
+
 void Call::onBody(std::string_view Body) {
   if (m_finished)
     return;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -388,6 +388,7 @@
        {"waiting", std::to_string(m_placement.waiting())},
        {"daemons", std::to_string(daemons())},
        {"suspects", std::to_string(m_crashes.suspects())},
+       {"limited_replicas", std::to_string(m_state.Limits.size())},
        {"quarantined", std::to_string(m_quarantine.size())},
        {"refused_percent",
         std::to_string(static_cast<int>(100 * m_shedder.refusedShare()))},
@@ -420,6 +421,7 @@
   if (Now - m_lastSweep >= SweepInterval) {
     m_lastSweep = Now;
     updateRetryFloors();
+    m_state.Limits.expire(Now);
     const auto Removed = m_state.Replicas.expire(Now);
     for (const routing::ReplicaId &Id : Removed)
       m_log.line(LogClass::State, "replica.gone", {{"replica", Id}});
--- a/src/nutmegdrift/gateway/gateway_fixture.h
+++ b/src/nutmegdrift/gateway/gateway_fixture.h
@@ -59,7 +59,12 @@
   AnswerMetadata readAnswer(const net::HttpAnswerHead &Head) const override {
     return {.Id = std::string(Head.Headers.find("Id").value_or("")),
             .NotRun = Head.Headers.find("Not-Run").has_value(),
-            .Signed = Head.Headers.find("Sig").has_value()};
+            .Signed = Head.Headers.find("Sig").has_value(),
+            .RateLimit = rateLimit(Head.Headers)};
+  }
+  static std::optional<double> rateLimit(const net::HeaderList &Headers) {
+    const auto Text = Headers.find("Limit");
+    return Text ? std::optional(std::stod(std::string(*Text))) : std::nullopt;
   }
   net::HeaderList answerHeaders(const net::HeaderList &Headers) const override {
     return net::endToEndFields(Headers);
