Send a replica no more requests than the rate that it names

Callers: replicas in need got up to twice the rate that they had named. Cause: the rate was not read, and only the dispatcher, which chooses for all VMs, can keep it for the fleet; plain replicas had no dispatcher at all. Change: VMs report the rate with the start and the end of each request; the dispatcher has a token bucket for each limited engine, whose wait is part of the engine's cost, and names the rates in its heartbeats for the VMs that follow it. Requests to a plain service with a limited replica are placed by a dispatcher too, for as long as the limit lasts. VMs that can't reach the dispatcher share a fifth of the rate. What no replica may take in time is refused at once. Ruled out: a fixed part of the rate for each VM, because callers gather at few VMs (docs/incidents/grown-one-vm.md) and most of it would not be used.

--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -85,6 +85,8 @@
   /// Longest time to the daemon's next heartbeat.
   Milliseconds Interval{500};
   std::vector<QuarantinedParts> Quarantine;
+  /// Of the services that this daemon dispatches.
+  std::vector<routing::NamedLimit> Limits;
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
@@ -122,6 +124,7 @@
   std::uint64_t Sequence = 0;
   /// From sending the request to its first event.
   Milliseconds TimeToFirstEvent{0};
+  std::optional<double> RateLimit{}; ///< See AnswerMetadata.
   friend bool operator==(const StartedReport &,
                          const StartedReport &) = default;
 };
@@ -141,6 +144,7 @@
   routing::ReplicaOutcome Outcome = routing::ReplicaOutcome::Served;
   /// Sent in a second report of the request, once the crash is certain.
   std::optional<CrashReport> Crash{};
+  std::optional<double> RateLimit{}; ///< See AnswerMetadata.
   friend bool operator==(const EndedReport &, const EndedReport &) = default;
 };
 
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -68,6 +68,9 @@
   void onMetrics(net::ServerExchange &Exchange);
   [[nodiscard]] Heartbeat composeHeartbeat();
   void onHeartbeat(const Heartbeat &Received);
+  void setReplicas(const std::string &Name);
+  [[nodiscard]] std::vector<routing::NamedLimit>
+  dispatchedLimits(TimePoint Now);
   void onQuarantine(const std::string &Service,
                     const routing::PartVerdict &Verdict);
   [[nodiscard]] std::vector<DispatcherCandidate> candidates();
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -78,6 +78,10 @@
     std::function<void(const std::string &Service,
                        const routing::PartVerdict &)>
         OnQuarantine;
+    /// Rates that replicas named; null: none.
+    routing::ReplicaLimits *Limits = nullptr;
+    /// Calls setReplicas() for a service that is dispatched for the first time.
+    std::function<void(const std::string &Service)> OnNewService;
     std::uint64_t Seed = 0;
   };
 
@@ -98,10 +102,13 @@
   routing::RequestKey place(const std::string &Service,
                             routing::ModelRequest Request, OnDecision OnDone);
   /// The request ended, or its caller disconnected while it waited.
-  void ended(routing::RequestKey Key, routing::ReplicaOutcome Outcome);
+  /// RateLimit: as the replica named it in its answer, if it did.
+  void ended(routing::RequestKey Key, routing::ReplicaOutcome Outcome,
+             std::optional<double> RateLimit = std::nullopt);
   /// The request's first event was received. TimeToFirstEvent counts from the
   /// sending of the request.
-  void started(routing::RequestKey Key, Duration TimeToFirstEvent);
+  void started(routing::RequestKey Key, Duration TimeToFirstEvent,
+               std::optional<double> RateLimit = std::nullopt);
 
   /// The replica of a request crashed before the answer had begun, or just
   /// after.
@@ -111,8 +118,14 @@
   /// The service's dispatcher in this daemon's view: the best candidate that
   /// this daemon can reach. Empty before the first replicas are known.
   [[nodiscard]] DaemonName dispatcherOf(const std::string &Service) const;
+  /// Whether this daemon is the dispatcher of the service in its own view.
+  [[nodiscard]] bool dispatches(const std::string &Service) const;
   /// Whether this daemon is the dispatcher of a service in its own view.
   [[nodiscard]] bool dispatchesAny() const;
+  /// Whether requests of the service were placed, here or for other daemons.
+  [[nodiscard]] bool knows(const std::string &Service) const {
+    return m_dispatchers.contains(Service);
+  }
   [[nodiscard]] std::size_t waiting() const;
   /// Requests that this daemon counts as running on the service's replicas,
   /// those of other daemons included.
@@ -142,7 +155,9 @@
   routing::ModelDispatcher &dispatcher(const std::string &Service);
   void updateRoles();
   void updateRole(const std::string &Service, Role &Current);
-  [[nodiscard]] bool dispatches(const std::string &Service) const;
+  /// An answer to a request of another daemon named a rate, or none.
+  void observeLimit(const std::string &Service, routing::RequestKey Key,
+                    std::optional<double> RateLimit);
   void offerLocally(const std::string &Service, routing::RequestKey Key);
   void deliver(const std::string &Service,
                const routing::ModelDecision &Decision);
--- a/include/nutmegdrift/routing/cold_allowance.h
+++ b/include/nutmegdrift/routing/cold_allowance.h
@@ -25,6 +25,8 @@
   }
   [[nodiscard]] bool available() const { return m_allowance >= 1.0; }
   void consume() { m_allowance -= 1.0; }
+  /// Requests that may be sent now.
+  [[nodiscard]] double value() const { return m_allowance; }
 
 private:
   double m_allowance = 0.0;
@@ -37,6 +39,11 @@
 double coldShare(bool IsDispatcher, std::size_t Daemons, Duration Uptime,
                  std::uint64_t Draw);
 
+/// Share of the rate that a replica named which one daemon may use. The
+/// dispatcher gets all of it, and the daemons that can't reach it a part of the
+/// excess that replicas accept.
+double limitShare(bool IsDispatcher, std::size_t Daemons, std::uint64_t Draw);
+
 } // namespace nutmegdrift::routing
 
 #endif
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -6,6 +6,7 @@
 #include "nutmegdrift/routing/cold_allowance.h"
 #include "nutmegdrift/routing/engine_estimate.h"
 #include "nutmegdrift/routing/part_crashes.h"
+#include "nutmegdrift/routing/replica_limits.h"
 #include "nutmegdrift/routing/replica_table.h"
 
 #include <optional>
@@ -96,6 +97,8 @@
   double Share = 1.0;
   /// Share of a cold replica's request rate that this dispatcher may use.
   double ColdShare = 1.0;
+  /// Share of the rate that a replica named which this dispatcher may use.
+  double LimitShare = 1.0;
   /// Bounds of ModelDecision::RetryAfter.
   Milliseconds MinRetryAfter{250};
   Milliseconds MaxRetryAfter{3000};
@@ -127,7 +130,9 @@
 /// cost, where cached shared parts count as read. Not thread-safe; does no I/O.
 class ModelDispatcher {
 public:
-  ModelDispatcher(DispatcherOptions Options, std::uint64_t Seed);
+  /// Limits: rates that replicas named, null: none. It must outlive this.
+  ModelDispatcher(DispatcherOptions Options, std::uint64_t Seed,
+                  const ReplicaLimits *Limits = nullptr);
 
   void setOptions(const DispatcherOptions &Options) { m_options = Options; }
   /// Replaces the set of usable replicas.
@@ -168,6 +173,8 @@
   [[nodiscard]] std::string describeEngines() const;
   [[nodiscard]] double load() const { return m_load; }
   [[nodiscard]] const EngineEstimate *engine(const ReplicaId &Id) const;
+  /// The replica of a request that has not ended; empty if it is unknown.
+  [[nodiscard]] ReplicaId replicaOf(RequestKey Key) const;
 
 private:
   struct QueuedRequest {
@@ -201,6 +208,8 @@
     TimePoint ColdUntil{};
     std::int64_t StartMillis = 0;
     ColdAllowance Cold{};
+    std::optional<double> PerSecond{}; ///< See ReplicaLimits.
+    ColdAllowance Limited{};           ///< Used if PerSecond is set.
     /// Reading time and number of the queued requests that wait for this engine
     /// in the current pump. Without them every request would expect a short
     /// wait here, and other engines would become idle.
@@ -239,6 +248,10 @@
   void rankEngines(TimePoint Now);
   void dropReferences(const Engine &Removed);
   void updateLoad(TimePoint Now);
+  void updateLimits(TimePoint Now);
+  /// Time until the rate that the replica named allows one more request, after
+  /// the reserved ones.
+  [[nodiscard]] Duration limitWait(const Engine &Candidate) const;
   void decay(WorkspaceQueue &Queue, TimePoint Now) const;
   [[nodiscard]] bool isUnderserved(const WorkspaceQueue &Queue) const;
   /// Whether the next request may go to a canary replica.
@@ -267,6 +280,7 @@
   void pruneExpectedReturns(TimePoint Now);
 
   DispatcherOptions m_options;
+  const ReplicaLimits *m_limits;
   DispatcherTotals m_totals;
   Random m_random;
   double m_coldPerSecond = 0.0;
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -209,7 +209,8 @@
 }
 
 void Call::chooseReplica() {
-  if (isModelCall())
+  // A plain replica that named a rate has to be shared like an engine.
+  if (isModelCall() || m_env.State.Limits.limited(m_service, m_env.Clk.now()))
     requestModelReplica();
   else
     choosePlainReplica();
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -113,6 +113,7 @@
                                     routing::mayRepeat(m_route->Kind));
   m_replica = Id;
   m_head.reset();
+  m_answerMetadata = {};
   m_body.clear();
   m_unresponsive = false;
   m_events.clear();
@@ -183,6 +184,12 @@
   m_answerMetadata = m_env.Headers.readAnswer(Head);
   observeLimit();
   m_head = std::move(Head);
+  // A plain answer is held back until it is complete, so that no event shows
+  // its start.
+  if (m_placementKey && !isModelCall())
+    m_env.ModelPlacement.started(*m_placementKey,
+                                 m_env.Clk.now() - m_connection->sentAt(),
+                                 m_answerMetadata.RateLimit);
   m_passThrough = routing::isStream(m_route->Kind) &&
                   isSuccess(m_head->Status) && m_answerMetadata.Signed;
   m_unframedEvents = m_passThrough && !m_head->Chunked &&
@@ -265,7 +272,8 @@
          {"replicas_tried", std::to_string(m_tried.size())}});
   if (m_placementKey)
     m_env.ModelPlacement.started(*m_placementKey,
-                                 m_firstByteAt - m_connection->sentAt());
+                                 m_firstByteAt - m_connection->sentAt(),
+                                 m_answerMetadata.RateLimit);
   m_exchange->begin(m_head->Status,
                     m_env.Headers.answerHeaders(m_head->Headers),
                     m_head->ContentLength);
@@ -585,7 +593,8 @@
 void Call::releaseReplica(ReplicaOutcome Outcome) {
   m_responseTimer.cancel();
   if (m_placementKey) {
-    m_env.ModelPlacement.ended(*m_placementKey, Outcome);
+    m_env.ModelPlacement.ended(*m_placementKey, Outcome,
+                               m_answerMetadata.RateLimit);
     m_placementKey.reset();
   }
   if (!m_replica.empty()) {
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -122,13 +122,20 @@
     return json::array({1, M.Sequence});
   }
   json operator()(const StartedReport &M) const {
-    return json::array({2, M.Sequence, M.TimeToFirstEvent.count()});
+    json Out = json::array({2, M.Sequence, M.TimeToFirstEvent.count()});
+    if (M.RateLimit)
+      Out.push_back(*M.RateLimit);
+    return Out;
   }
   json operator()(const EndedReport &M) const {
     json Out = json::array({3, M.Sequence, static_cast<int>(M.Outcome)});
     if (M.Crash)
       Out.push_back(json::array({M.Crash->Service, M.Crash->Replica,
                                  M.Crash->Parts, M.Crash->SentAgo.count()}));
+    else if (M.RateLimit)
+      Out.push_back(nullptr);
+    if (M.RateLimit)
+      Out.push_back(*M.RateLimit);
     return Out;
   }
   json operator()(const PlaceGrant &M) const {
@@ -166,6 +173,15 @@
           .Sender = optionalField<std::string>(V, 15)};
 }
 
+std::optional<double> optionalRate(const json &V, std::size_t Index) {
+  if (Index >= V.size())
+    return std::nullopt;
+  const double Rate = V.at(Index).get<double>();
+  if (!std::isfinite(Rate) || Rate < 0.0)
+    throw std::out_of_range("rate");
+  return Rate;
+}
+
 EndedReport decodeEndedReport(const json &V) {
   const int Outcome = V.at(2).get<int>();
   if (Outcome < 0 ||
@@ -173,7 +189,8 @@
     throw std::out_of_range("outcome");
   EndedReport Report{.Sequence = V.at(1).get<std::uint64_t>(),
                      .Outcome = static_cast<routing::ReplicaOutcome>(Outcome)};
-  if (V.size() > 3)
+  Report.RateLimit = optionalRate(V, 4);
+  if (V.size() > 3 && !V.at(3).is_null())
     Report.Crash =
         CrashReport{.Service = V.at(3).at(0).get<std::string>(),
                     .Replica = V.at(3).at(1).get<std::string>(),
@@ -190,7 +207,8 @@
     return WithdrawRequest{.Sequence = V.at(1).get<std::uint64_t>()};
   case 2:
     return StartedReport{.Sequence = V.at(1).get<std::uint64_t>(),
-                         .TimeToFirstEvent = decodeTime(V.at(2))};
+                         .TimeToFirstEvent = decodeTime(V.at(2)),
+                         .RateLimit = optionalRate(V, 3)};
   case 3:
     return decodeEndedReport(V);
   case 4:
@@ -238,6 +256,11 @@
   for (const QuarantinedParts &Entry : B.Quarantine)
     Quarantine.push_back(
         json::array({Entry.Service, Entry.Parts, Entry.Age.count()}));
+  json Limits = json::array();
+  for (const routing::NamedLimit &Limit : B.Limits)
+    Limits.push_back(json::array(
+        {Limit.Service, Limit.Replica, Limit.PerSecond,
+         std::chrono::duration_cast<Milliseconds>(Limit.Age).count()}));
   json Out = json::array();
   Out = {FormatVersion,
          B.Daemon,
@@ -255,7 +278,8 @@
          std::move(Rollouts),
          std::move(Outcomes),
          B.Interval.count(),
-         std::move(Quarantine)};
+         std::move(Quarantine),
+         std::move(Limits)};
   return toMsgpack(Out);
 }
 
@@ -300,6 +324,13 @@
             {.Service = Entry.at(0).get<std::string>(),
              .Parts = Entry.at(1).get<std::vector<std::uint64_t>>(),
              .Age = std::max(decodeTime(Entry.at(2)), Milliseconds(0))});
+    if (V.size() > 17)
+      for (const json &Entry : V.at(17))
+        B.Limits.push_back(
+            {.Service = Entry.at(0).get<std::string>(),
+             .Replica = Entry.at(1).get<std::string>(),
+             .PerSecond = optionalRate(Entry, 2).value_or(0.0),
+             .Age = std::max(decodeTime(Entry.at(3)), Milliseconds(0))});
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -72,6 +72,9 @@
                       const routing::PartVerdict &Verdict) {
                  onQuarantine(Service, Verdict);
                },
+           .Limits = &m_state.Limits,
+           .OnNewService =
+               [this](const std::string &Service) { setReplicas(Service); },
            .Seed = m_boot}),
       m_callEnvironment{.Loop = Loop,
                         .Clk = Clk,
@@ -280,13 +283,16 @@
               m_hooks.LatestRevisions ? m_hooks.LatestRevisions() : Revisions{},
           .Suspects = m_crashes.newestSuspects(Now),
           .Rollouts = m_state.Rollouts.statuses(Now),
-          .Quarantine = m_quarantine.report(Now)};
+          .Quarantine = m_quarantine.report(Now),
+          .Limits = dispatchedLimits(Now)};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
   const TimePoint Now = m_clock.now();
   for (const SuspectCount &Suspect : Received.Suspects)
     m_crashes.merge(Suspect, Now);
+  for (const routing::NamedLimit &Limit : Received.Limits)
+    m_state.Limits.merge(Limit, Now);
   for (const QuarantinedParts &Entry : Received.Quarantine)
     if (m_quarantine.merge(Entry, Now))
       m_log.line(LogClass::State, "prompt.quarantine_received",
@@ -361,10 +367,27 @@
   if (!m_state.Table)
     return;
   for (const routing::Service &Service : m_state.Table->state().Services)
-    if (Service.Engine)
-      m_placement.setReplicas(
-          Service, m_state.Rollouts.select(
-                       Service.Name, m_state.Replicas.usable(Service.Name)));
+    if (Service.Engine || m_placement.knows(Service.Name))
+      setReplicas(Service.Name);
+}
+
+void Gateway::setReplicas(const std::string &Name) {
+  const routing::Service *Service =
+      m_state.Table ? m_state.Table->service(Name) : nullptr;
+  if (Service)
+    m_placement.setReplicas(
+        *Service, m_state.Rollouts.select(Name, m_state.Replicas.usable(Name)));
+}
+
+std::vector<routing::NamedLimit> Gateway::dispatchedLimits(TimePoint Now) {
+  std::vector<routing::NamedLimit> Limits;
+  if (m_state.Limits.empty() || !m_state.Table)
+    return Limits;
+  for (const routing::Service &Service : m_state.Table->state().Services)
+    if (m_placement.dispatches(Service.Name))
+      std::ranges::move(m_state.Limits.of(Service.Name, Now),
+                        std::back_inserter(Limits));
+  return Limits;
 }
 
 void Gateway::rolloutsChanged() {
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -233,9 +233,14 @@
   const auto Existing = m_dispatchers.find(Service);
   if (Existing != m_dispatchers.end())
     return Existing->second;
-  return m_dispatchers
-      .try_emplace(Service, m_options, hashText(Service, m_env.Seed))
-      .first->second;
+  routing::ModelDispatcher &Created =
+      m_dispatchers
+          .try_emplace(Service, m_options, hashText(Service, m_env.Seed),
+                       m_env.Limits)
+          .first->second;
+  if (m_env.OnNewService)
+    m_env.OnNewService(Service);
+  return Created;
 }
 
 void Placement::setReplicas(const routing::Service &Service,
@@ -326,6 +331,8 @@
   for (auto &[Service, Dispatcher] : m_dispatchers) {
     routing::DispatcherOptions Options = m_options;
     Options.Share = shareOf(Service);
+    Options.LimitShare = routing::limitShare(
+        dispatches(Service), Daemons, hashText(m_env.Self, hashText(Service)));
     // By the first choice, on which all daemons agree, because together they
     // must not exceed a cold replica's rate.
     Options.ColdShare = routing::coldShare(
@@ -689,9 +696,9 @@
     schedulePump();
   } else if (const auto *Started = std::get_if<StartedReport>(&Message)) {
     if (const std::string *Service = ServiceOf(Started->Sequence)) {
-      dispatcher(*Service).started(
-          clientKey(Requester.number(), Started->Sequence), Now,
-          Started->TimeToFirstEvent);
+      const RequestKey Key = clientKey(Requester.number(), Started->Sequence);
+      observeLimit(*Service, Key, Started->RateLimit);
+      dispatcher(*Service).started(Key, Now, Started->TimeToFirstEvent);
       reportVerdicts(*Service);
     }
     schedulePump();
@@ -702,9 +709,12 @@
                   .Replica = Ended->Crash->Replica,
                   .Parts = Ended->Crash->Parts,
                   .SentAt = Now - Ended->Crash->SentAgo});
-    if (const std::string *Service = ServiceOf(Ended->Sequence))
-      dispatcher(*Service).ended(clientKey(Requester.number(), Ended->Sequence),
-                                 Ended->Outcome, Now);
+    if (const std::string *Service = ServiceOf(Ended->Sequence)) {
+      const RequestKey Key = clientKey(Requester.number(), Ended->Sequence);
+      if (Ended->RateLimit)
+        observeLimit(*Service, Key, Ended->RateLimit);
+      dispatcher(*Service).ended(Key, Ended->Outcome, Now);
+    }
     Requester.requests().erase(Ended->Sequence);
     schedulePump();
   }
@@ -721,7 +731,8 @@
   schedulePump();
 }
 
-void Placement::started(RequestKey Key, Duration TimeToFirstEvent) {
+void Placement::started(RequestKey Key, Duration TimeToFirstEvent,
+                        std::optional<double> RateLimit) {
   const auto Entry = m_localRequests.find(Key);
   if (Entry == m_localRequests.end() || Entry->second.Started)
     return;
@@ -734,12 +745,15 @@
   if (!Entry->second.Dispatcher.empty())
     if (const auto Target = m_links.find(Entry->second.Dispatcher);
         Target != m_links.end() && Target->second->connected())
-      Target->second->send(StartedReport{
-          .Sequence = Key, .TimeToFirstEvent = toMs(TimeToFirstEvent)});
+      Target->second->send(
+          StartedReport{.Sequence = Key,
+                        .TimeToFirstEvent = toMs(TimeToFirstEvent),
+                        .RateLimit = RateLimit});
   schedulePump();
 }
 
-void Placement::ended(RequestKey Key, ReplicaOutcome Outcome) {
+void Placement::ended(RequestKey Key, ReplicaOutcome Outcome,
+                      std::optional<double> RateLimit) {
   const auto Entry = m_localRequests.find(Key);
   if (Entry == m_localRequests.end())
     return;
@@ -760,7 +774,14 @@
     return;
   }
   DispatcherLink->second->send(
-      EndedReport{.Sequence = Key, .Outcome = Outcome});
+      EndedReport{.Sequence = Key, .Outcome = Outcome, .RateLimit = RateLimit});
+}
+
+void Placement::observeLimit(const std::string &Service, RequestKey Key,
+                             std::optional<double> RateLimit) {
+  const routing::ReplicaId Replica = dispatcher(Service).replicaOf(Key);
+  if (m_env.Limits && !Replica.empty())
+    m_env.Limits->observe(Service, Replica, RateLimit, m_env.Clk.now());
 }
 
 void Placement::countCrash(const std::string &Service,
--- a/src/nutmegdrift/routing/cold_allowance.cpp
+++ b/src/nutmegdrift/routing/cold_allowance.cpp
@@ -10,6 +10,10 @@
 /// Daemons beside the dispatcher that may send to cold replicas. Each one's
 /// bucket holds one request; all of them must stay within the allowed overage.
 constexpr std::size_t MaxSenders = 8;
+/// Share of a named rate for all daemons beside the dispatcher, and how many of
+/// them may use it.
+constexpr double ExcessShare = 0.2;
+constexpr std::size_t MaxLimitedSenders = 4;
 /// A daemon that has just started does not know the number of daemons yet.
 constexpr Duration DiscoveryTime = std::chrono::seconds(2);
 
@@ -27,4 +31,13 @@
   return OthersShare / static_cast<double>(std::min(Others, MaxSenders));
 }
 
+double limitShare(bool IsDispatcher, std::size_t Daemons, std::uint64_t Draw) {
+  if (IsDispatcher)
+    return 1.0;
+  const std::size_t Others = std::max<std::size_t>(Daemons, 1);
+  if (Others > MaxLimitedSenders && Draw % Others >= MaxLimitedSenders)
+    return 0.0;
+  return ExcessShare / static_cast<double>(std::min(Others, MaxLimitedSenders));
+}
+
 } // namespace nutmegdrift::routing
--- a/src/nutmegdrift/routing/part_crashes_test.cpp
+++ b/src/nutmegdrift/routing/part_crashes_test.cpp
@@ -91,6 +91,7 @@
     if (Millis % 60 != 0)
       continue;
     std::vector<RequestKey> Lost{Seen.send({Common, Deadly}, Now - 100ms)};
+    Lost.reserve(5);
     for (int I = 0; I < 4; ++I)
       Lost.push_back(Seen.send({Common, Rare()}, Now - 100ms));
     for (const RequestKey Key : Lost)
@@ -137,6 +138,7 @@
   for (int J = 0; J < 50; ++J)
     Seen.serve({Common, 8}, Start);
   std::vector<RequestKey> Lost;
+  Lost.reserve(12);
   for (int I = 0; I < 12; ++I)
     Lost.push_back(Seen.send({Common, 9}, Start + I * 1ms));
   for (int J = 0; J < 50; ++J)
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -53,6 +53,41 @@
   EXPECT_EQ(Table.usable("s").size(), 1U);
 }
 
+TEST(ReplicaLimits, ALimitStaysUntilAnswersComeWithoutIt) {
+  ReplicaLimits Limits;
+  Limits.observe("s", "r", 5.0, Start);
+  // Sent before the replica was in need, received after.
+  Limits.observe("s", "r", std::nullopt, Start + 200ms);
+  EXPECT_EQ(Limits.find("r", Start + 300ms), 5.0);
+  Limits.observe("s", "r", std::nullopt, Start + 1200ms);
+  EXPECT_FALSE(Limits.limited("s", Start + 1300ms));
+}
+
+TEST(ReplicaLimits, ASilentReplicaKeepsItsLimitForAFewRequests) {
+  ReplicaLimits Limits;
+  Limits.observe("s", "fast", 5.0, Start);
+  Limits.observe("s", "slow", 0.1, Start);
+  EXPECT_EQ(Limits.find("fast", Start + 9s), 5.0);
+  EXPECT_FALSE(Limits.find("fast", Start + 11s));
+  EXPECT_EQ(Limits.find("slow", Start + 25s), 0.1);
+  EXPECT_FALSE(Limits.find("slow", Start + 31s));
+}
+
+// A daemon reported an old limit again and again, so that it never ended.
+TEST(ReplicaLimits, AReportedLimitKeepsItsAge) {
+  ReplicaLimits First;
+  ReplicaLimits Second;
+  First.observe("s", "r", 5.0, Start);
+  for (TimePoint Now = Start; Now < Start + 12s; Now += 500ms) {
+    for (const NamedLimit &Limit : First.of("s", Now))
+      Second.merge(Limit, Now);
+    for (const NamedLimit &Limit : Second.of("s", Now))
+      First.merge(Limit, Now);
+  }
+  EXPECT_FALSE(First.limited("s", Start + 12s));
+  EXPECT_FALSE(Second.limited("s", Start + 12s));
+}
+
 TEST(ReplicaTable, LeavesOutDrainingReplicasAndEvacuatedZones) {
   ReplicaTable Table;
   ReplicaRecord DrainingRecord = record("a");
