--- a/include/nutmegdrift/policy/version_judge.h
+++ b/include/nutmegdrift/policy/version_judge.h
@@ -105,8 +105,10 @@
 ///
 /// The probability that a version no worse than the old one is ever judged bad
 /// is at most FalseAlarm over the whole rollout, all routes and all signals.
-/// "No worse" includes times that are longer by the factor Tolerance. Not
-/// thread-safe.
+/// "No worse" includes times that are longer by the factor Tolerance. The pace
+/// of streams that have not ended (VersionSample::PaceOnly) is tested beside
+/// this for a much larger difference, with the likelihood ratio of slow
+/// streams. Not thread-safe.
 class VersionJudge {
 public:
   /// Probability of judging a good version bad, over one rollout.
