Log what each workspace requested and got from its dispatcher

dispatcher.workspace follows each summary: totals of the six workspaces that requested most, their queue, and the service by which each is ahead of the least served one.

--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -123,6 +123,22 @@
                          const DispatcherTotals &) = default;
 };
 
+/// What one workspace requested and got from a dispatcher since its start, for
+/// logs. Tokens: of the prompt, and twice those of the output.
+struct WorkspaceTotals {
+  std::string Workspace;
+  double RequestedTokens = 0.0;
+  double PlacedTokens = 0.0;
+  std::uint64_t Placed = 0;
+  std::uint64_t Refused = 0;
+  std::size_t Queued = 0;
+  /// Recent service beyond that of the least served workspace with requests.
+  double SurplusTokens = 0.0;
+
+  friend bool operator==(const WorkspaceTotals &,
+                         const WorkspaceTotals &) = default;
+};
+
 /// Queues, places and refuses the requests of one model service. The workspace
 /// that was served least within FairnessWindow goes first; within a workspace,
 /// requests that can still meet their first-token target go first, the earliest
@@ -171,6 +187,9 @@
   /// Reading rate, overhead, requests and waiting prompts of a few engines, for
   /// logs.
   [[nodiscard]] std::string describeEngines() const;
+  /// The workspaces with the largest RequestedTokens first, at most Max.
+  [[nodiscard]] std::vector<WorkspaceTotals>
+  workspaceTotals(std::size_t Max) const;
   [[nodiscard]] double load() const { return m_load; }
   [[nodiscard]] const EngineEstimate *engine(const ReplicaId &Id) const;
   /// The replica of a request that has not ended; empty if it is unknown.
@@ -199,6 +218,7 @@
     /// The part of QueuedTokens and Items that belongs to returned requests.
     double ReturnedTokens = 0.0;
     std::size_t ReturnedItems = 0;
+    WorkspaceTotals Totals{};
   };
   struct Engine {
     ReplicaId Id;
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -22,6 +22,12 @@
 /// A dispatcher decides for the whole fleet, so daemons with less than this
 /// fraction of the greatest weight don't dispatch.
 constexpr double MinRelativeWeight = 0.8;
+/// Workspaces of a service that each summary describes.
+constexpr std::size_t MaxWorkspacesLogged = 6;
+
+std::string wholeNumber(double Value) {
+  return std::to_string(std::llround(Value));
+}
 
 RequestKey clientKey(std::uint32_t Client, std::uint64_t Sequence) {
   return (std::uint64_t{Client} << ClientShift) | (Sequence & 0xFFFFFFFFU);
@@ -528,6 +534,18 @@
                     {"tokens_known", std::to_string(Totals.TokensCached)},
                     {"tokens_reread", std::to_string(Totals.TokensReread)},
                     {"engines", Dispatcher.describeEngines()}});
+    for (const routing::WorkspaceTotals &Workspace :
+         Dispatcher.workspaceTotals(MaxWorkspacesLogged))
+      m_env.Log.line(
+          LogClass::State, "dispatcher.workspace",
+          {{"service", Service},
+           {"workspace", Workspace.Workspace},
+           {"requested_tokens", wholeNumber(Workspace.RequestedTokens)},
+           {"placed_tokens", wholeNumber(Workspace.PlacedTokens)},
+           {"placed", std::to_string(Workspace.Placed)},
+           {"refused", std::to_string(Workspace.Refused)},
+           {"queued", std::to_string(Workspace.Queued)},
+           {"surplus_tokens", wholeNumber(Workspace.SurplusTokens)}});
   }
 }
 
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace nutmegdrift::routing {
 
@@ -457,6 +458,28 @@
   return Out;
 }
 
+std::vector<WorkspaceTotals>
+ModelDispatcher::workspaceTotals(std::size_t Max) const {
+  std::vector<WorkspaceTotals> All;
+  double LeastServed = std::numeric_limits<double>::infinity();
+  for (const auto &[Name, Queue] : m_queues)
+    LeastServed = std::min(LeastServed, Queue.Served);
+  for (const auto &[Name, Queue] : m_queues) {
+    WorkspaceTotals &Added = All.emplace_back(Queue.Totals);
+    Added.Workspace = Name;
+    Added.Queued = Queue.Items.size();
+    Added.SurplusTokens = Queue.Served - LeastServed;
+  }
+  const auto Kept = std::min(Max, All.size());
+  std::partial_sort(All.begin(),
+                    All.begin() + static_cast<std::ptrdiff_t>(Kept), All.end(),
+                    [](const WorkspaceTotals &A, const WorkspaceTotals &B) {
+                      return A.RequestedTokens > B.RequestedTokens;
+                    });
+  All.resize(Kept);
+  return All;
+}
+
 double ModelDispatcher::tokensPerMs(TimePoint Now) const {
   double Sum = 0.0;
   for (const auto &[Id, Tracked] : m_engines)
@@ -541,6 +564,7 @@
     rankEngines(Now);
   decay(Queue, Now);
   Queue.Requested += costInTokens(Queued.Request);
+  Queue.Totals.RequestedTokens += costInTokens(Queued.Request);
   const EngineChoice Best = choose(Queued, Queue, Now);
   const double Tokens =
       Best.Destination
@@ -574,6 +598,7 @@
       std::clamp(std::chrono::duration_cast<Milliseconds>(scaled(Wait, Spread)),
                  m_options.MinRetryAfter, m_options.MaxRetryAfter);
   ++m_totals.Refused;
+  ++m_queues[Refused.Request.Workspace].Totals.Refused;
   if (const std::uint64_t Part = lastPartId(Refused.Request)) {
     pruneExpectedReturns(Now);
     m_expectedReturns[Part] = Now + RetryAfter + ReturnWindow;
@@ -698,6 +723,8 @@
          .PredictedFirstToken = Best.FirstToken});
     place(Queued, Best, Now);
     Queue.Served += costInTokens(Queued.Request);
+    Queue.Totals.PlacedTokens += costInTokens(Queued.Request);
+    ++Queue.Totals.Placed;
     removeItem(Queue, Entry.Index);
     return true;
   }
