Order workspaces by start-time fair queueing in place of a decaying sum

Cause: service was compared by a sum of tokens with a time constant of three seconds. What a workspace got before a drop of the capacity counted as a surplus of 841,302 tokens, which the others needed seconds to catch up with (dispatcher.workspace). Beside it, a request that would miss its target was placed after all requests of all workspaces that would not, so under load the order by service decided nothing for large prompts; and the wait predicted for a new request counted queued requests twice, as queue and as reserved engine time.

Now a virtual time advances with the service, and a workspace is behind it by at most two seconds of an equal share of the present service. A drop of the capacity shrinks all differences. Late requests go first once their workspace is behind by that much. The predicted wait follows this order.

The disabled test of late prompts passes and is enabled.

--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -5,6 +5,7 @@
 #include "nutmegdrift/base/random.h"
 #include "nutmegdrift/routing/cold_allowance.h"
 #include "nutmegdrift/routing/engine_estimate.h"
+#include "nutmegdrift/routing/fair_share.h"
 #include "nutmegdrift/routing/part_crashes.h"
 #include "nutmegdrift/routing/replica_limits.h"
 #include "nutmegdrift/routing/replica_table.h"
@@ -81,14 +82,8 @@
   /// Requests that can no longer meet their first-token target may wait this
   /// much longer before they are refused.
   Duration MissedTargetWait = std::chrono::milliseconds(20);
-  /// Time constant of the decaying sums by which the service of workspaces is
-  /// compared.
-  Duration FairnessWindow = std::chrono::seconds(3);
-  /// A workspace is underserved if it was served less than this share of what
-  /// it requested and of what the best served workspace got. Reading shared
-  /// parts again then counts less, and its requests may wait longer.
-  double FairShare = 0.7;
-  /// Additional wait for the requests of an underserved workspace.
+  /// Additional wait for the requests of an underserved workspace, see
+  /// FairShare. Reading shared parts again counts less for them, too.
   Duration UnderservedWait = std::chrono::milliseconds(400);
   /// Share of an engine's memory that the requests on it may use.
   double MemoryShare = 0.92;
@@ -132,7 +127,7 @@
   std::uint64_t Placed = 0;
   std::uint64_t Refused = 0;
   std::size_t Queued = 0;
-  /// Recent service beyond that of the least served workspace with requests.
+  /// See FairShare::surplus().
   double SurplusTokens = 0.0;
 
   friend bool operator==(const WorkspaceTotals &,
@@ -140,10 +135,12 @@
 };
 
 /// Queues, places and refuses the requests of one model service. The workspace
-/// that was served least within FairnessWindow goes first; within a workspace,
-/// requests that can still meet their first-token target go first, the earliest
-/// target first. A request is placed on the engine with the lowest estimated
-/// cost, where cached shared parts count as read. Not thread-safe; does no I/O.
+/// that FairShare puts first goes first; within a workspace, requests that can
+/// still meet their first-token target go first, the earliest target first.
+/// Those that can't are placed after the requests of other workspaces that can,
+/// unless their workspace is behind by the whole credit. A request is placed on
+/// the engine with the lowest estimated cost, where cached shared parts count
+/// as read. Not thread-safe; does no I/O.
 class ModelDispatcher {
 public:
   /// Limits: rates that replicas named, null: none. It must outlive this.
@@ -202,19 +199,18 @@
     bool Returned = false;      ///< Refused before and retried in time.
     double ReadingTokens = 0.0; ///< To be read at the best engine when offered.
     /// The last pump() in which the selected engine did not accept the request
-    /// yet.
+    /// yet, and the last one in which it could not meet its target.
     std::uint64_t DeferredInPump = 0;
+    std::uint64_t LateInPump = 0;
     // As predicted for the engine selected last.
     Duration LastPredictedFirstToken{0};
     Duration LastPredictedReading{0};
   };
   struct WorkspaceQueue {
     std::vector<QueuedRequest> Items;
-    // Decaying sums of tokens; FairnessWindow is the time constant.
-    double Requested = 0.0;
-    double Served = 0.0;
-    TimePoint DecayedAt{};
+    ShareAccount Account{};
     double QueuedTokens = 0.0; ///< Sum of ReadingTokens of Items.
+    double QueuedCost = 0.0;   ///< What FairShare will charge for Items.
     /// The part of QueuedTokens and Items that belongs to returned requests.
     double ReturnedTokens = 0.0;
     std::size_t ReturnedItems = 0;
@@ -243,7 +239,8 @@
     Duration Cost{0};
     Duration FirstToken{0};
     Duration Reading{0};
-    Duration SlotWait{0};
+    /// The part of FirstToken in which queued requests go before this one.
+    Duration ReservedWait{0};
     bool AcceptsNow = false; ///< The engine accepts the request now.
     const Engine *FetchFrom = nullptr;
     std::uint32_t Fetched = 0; ///< Tokens fetched from FetchFrom.
@@ -270,31 +267,32 @@
   void updateLoad(TimePoint Now);
   void updateLimits(TimePoint Now);
   /// Time until the rate that the replica named allows one more request, after
-  /// the reserved ones.
-  [[nodiscard]] Duration limitWait(const Engine &Candidate) const;
-  void decay(WorkspaceQueue &Queue, TimePoint Now) const;
-  [[nodiscard]] bool isUnderserved(const WorkspaceQueue &Queue) const;
+  /// Reserved others.
+  [[nodiscard]] Duration limitWait(const Engine &Candidate,
+                                   std::size_t Reserved) const;
+  void updateFairShare(TimePoint Now);
   /// Whether the next request may go to a canary replica.
   [[nodiscard]] bool canaryIsNext() const;
   [[nodiscard]] bool accepts(Engine &Candidate, const QueuedRequest &Queued,
                              TimePoint Now) const;
   [[nodiscard]] double tokensPerMs(TimePoint Now) const;
   [[nodiscard]] double requestsPerMs(TimePoint Now) const;
-  /// Time until the queued requests that go before one of Tokens are placed.
+  /// Time until the queued requests that go before this one are placed.
   [[nodiscard]] Duration expectedWait(const WorkspaceQueue &Queue,
-                                      double Tokens, bool Returned,
+                                      const QueuedRequest &Next,
                                       TimePoint Now) const;
   /// Time after its arrival by which the request must get its first token;
   /// otherwise it is refused.
   [[nodiscard]] Duration queueWaitLimit(const QueuedRequest &Queued,
                                         const WorkspaceQueue &Queue,
-                                        Duration Reading) const;
+                                        Duration Reading, TimePoint Now) const;
   ModelDecision refuse(const QueuedRequest &Refused, Duration Wait,
                        TimePoint Now);
   void place(const QueuedRequest &Placed, const EngineChoice &Choice,
              TimePoint Now);
   bool placeOne(WorkspaceQueue &Queue, bool TargetMissed, TimePoint Now,
                 std::vector<ModelDecision> &Out);
+  void placeInFairOrder(TimePoint Now, std::vector<ModelDecision> &Out);
   void refuseUnreachable(TimePoint Now, std::vector<ModelDecision> &Out);
   void removeItem(WorkspaceQueue &Queue, std::size_t Index);
   void pruneExpectedReturns(TimePoint Now);
@@ -322,8 +320,7 @@
   std::uint64_t m_placedOnCanaries = 0;
   std::uint64_t m_pumps = 0;
   double m_load = 0.0; ///< Share of the engines that are busy reading.
-  /// Largest Served of all queues, as of the last pump().
-  double m_maxServed = 0.0;
+  FairShare m_shares;
   std::unordered_map<RequestKey, ReplicaId> m_engineByRequest;
   PartCrashes m_partCrashes;
   /// Refused requests by the id of their last prompt part, with the time until
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace nutmegdrift::routing {
 
@@ -45,6 +44,9 @@
 /// this to the first token.
 constexpr Duration LargePromptSlack = std::chrono::milliseconds(250);
 
+/// Requests that will arrive later and go first, as a share of those that wait.
+constexpr double LaterRequests = 0.5;
+
 /// Size of a request for the cost of a missed target. An output token counts
 /// more than a prompt token.
 double sizeOf(const ModelRequest &Request) {
@@ -159,11 +161,12 @@
   }
 }
 
-Duration ModelDispatcher::limitWait(const Engine &Candidate) const {
+Duration ModelDispatcher::limitWait(const Engine &Candidate,
+                                    std::size_t Reserved) const {
   if (!Candidate.PerSecond)
     return Duration{0};
-  const double Missing = 1.0 + static_cast<double>(Candidate.ReservedSlots) -
-                         Candidate.Limited.value();
+  const double Missing =
+      1.0 + static_cast<double>(Reserved) - Candidate.Limited.value();
   if (Missing <= 0.0)
     return Duration{0};
   const double PerSecond =
@@ -241,10 +244,15 @@
       Estimate.timeToRead(Request.PromptTokens - Cached - Fetched) +
       (Fetched > 0 ? FetchSetup + scaled(m_fetchPerThousand, Fetched / 1000.0)
                    : Duration{0});
+  const Duration SlotWait =
+      limitWait(Candidate, Candidate.ReservedSlots) +
+      slotWait(Estimate, Candidate.ReservedSlots, m_options.Share);
+  const Duration ReservedWait = Candidate.Reserved + SlotWait -
+                                limitWait(Candidate, 0) -
+                                slotWait(Estimate, 0, m_options.Share);
   const Duration Waiting =
       scaled(Estimate.backlog(Now), 1.0 / m_options.Share) +
-      Candidate.Reserved + limitWait(Candidate) +
-      slotWait(Estimate, Candidate.ReservedSlots, m_options.Share) +
+      Candidate.Reserved + SlotWait +
       scaled(Estimate.overdue(Now), OverdueWeight);
   const Duration FirstToken = Waiting + Reading + Estimate.overhead();
   const Duration RemainingTime =
@@ -262,6 +270,7 @@
           .Cost = Cost,
           .FirstToken = FirstToken,
           .Reading = Reading,
+          .ReservedWait = ReservedWait,
           .Fetched = Fetched};
 }
 
@@ -302,21 +311,13 @@
   return Preferred;
 }
 
-void ModelDispatcher::decay(WorkspaceQueue &Queue, TimePoint Now) const {
-  const double Elapsed =
-      std::chrono::duration<double>(Now - Queue.DecayedAt).count();
-  const double Window =
-      std::chrono::duration<double>(m_options.FairnessWindow).count();
-  const double Factor =
-      Queue.DecayedAt == TimePoint{} ? 0.0 : std::exp(-Elapsed / Window);
-  Queue.Requested *= Factor;
-  Queue.Served *= Factor;
-  Queue.DecayedAt = Now;
-}
-
-bool ModelDispatcher::isUnderserved(const WorkspaceQueue &Queue) const {
-  return Queue.Served <
-         m_options.FairShare * std::min(Queue.Requested, m_maxServed);
+void ModelDispatcher::updateFairShare(TimePoint Now) {
+  const auto Competing = static_cast<std::size_t>(
+      std::count_if(m_queues.begin(), m_queues.end(), [Now](const auto &Entry) {
+        return !Entry.second.Items.empty() ||
+               FairShare::isUnmet(Entry.second.Account, Now);
+      }));
+  m_shares.update(Competing, Now);
 }
 
 void ModelDispatcher::rankEngines(TimePoint Now) {
@@ -328,7 +329,8 @@
       continue;
     const EngineEstimate &Estimate = Candidate.Estimate;
     m_rankedEngines.emplace_back(
-        Estimate.backlog(Now) + Estimate.overdue(Now) + limitWait(Candidate) +
+        Estimate.backlog(Now) + Estimate.overdue(Now) +
+            limitWait(Candidate, Candidate.ReservedSlots) +
             slotWait(Estimate, Candidate.ReservedSlots, m_options.Share) +
             std::chrono::microseconds(200) * Estimate.requests(),
         &Candidate);
@@ -379,8 +381,9 @@
 ModelDispatcher::EngineChoice
 ModelDispatcher::choose(const QueuedRequest &Queued,
                         const WorkspaceQueue &Queue, TimePoint Now) {
-  const double RereadWeight =
-      isUnderserved(Queue) ? UnderservedRereadWeight : 1.0;
+  const double RereadWeight = m_shares.isUnderserved(Queue.Account, Now)
+                                  ? UnderservedRereadWeight
+                                  : 1.0;
   collectCandidates(Queued);
   std::uint32_t MaxCached = 0;
   for (const Engine *Candidate : m_candidates)
@@ -461,14 +464,11 @@
 std::vector<WorkspaceTotals>
 ModelDispatcher::workspaceTotals(std::size_t Max) const {
   std::vector<WorkspaceTotals> All;
-  double LeastServed = std::numeric_limits<double>::infinity();
-  for (const auto &[Name, Queue] : m_queues)
-    LeastServed = std::min(LeastServed, Queue.Served);
   for (const auto &[Name, Queue] : m_queues) {
     WorkspaceTotals &Added = All.emplace_back(Queue.Totals);
     Added.Workspace = Name;
     Added.Queued = Queue.Items.size();
-    Added.SurplusTokens = Queue.Served - LeastServed;
+    Added.SurplusTokens = m_shares.surplus(Queue.Account);
   }
   const auto Kept = std::min(Max, All.size());
   std::partial_sort(All.begin(),
@@ -490,32 +490,38 @@
 }
 
 Duration ModelDispatcher::expectedWait(const WorkspaceQueue &Queue,
-                                       double Tokens, bool Returned,
+                                       const QueuedRequest &Next,
                                        TimePoint Now) const {
   struct Load {
     double Tokens;
-    std::size_t Requests;
+    double Requests;
   };
   // Returned requests are placed after those that can meet their target.
-  const auto LoadAhead = [Returned](const WorkspaceQueue &Waiting) -> Load {
-    if (Returned)
-      return {.Tokens = Waiting.QueuedTokens, .Requests = Waiting.Items.size()};
+  const auto LoadAhead = [&Next](const WorkspaceQueue &Waiting) -> Load {
+    const auto Requests = static_cast<double>(Waiting.Items.size());
+    if (Next.Returned)
+      return {.Tokens = Waiting.QueuedTokens, .Requests = Requests};
     return {.Tokens = Waiting.QueuedTokens - Waiting.ReturnedTokens,
-            .Requests = Waiting.Items.size() - Waiting.ReturnedItems};
+            .Requests = Requests - static_cast<double>(Waiting.ReturnedItems)};
   };
-  // With equal service, each other workspace is served at most as much before
-  // this request as its own workspace.
-  const Load Own = LoadAhead(Queue);
-  Load Ahead = Own;
+  // Another workspace is served before this request until it has got as much as
+  // this one will have then.
+  const double Level = m_shares.nextStart(Queue.Account) + Queue.QueuedCost +
+                       costInTokens(Next.Request) +
+                       (Next.Returned ? m_shares.credit() : 0.0);
+  Load Ahead = LoadAhead(Queue);
   for (const auto &[Name, Other] : m_queues) {
-    if (&Other == &Queue)
+    if (&Other == &Queue || Other.Items.empty())
       continue;
+    const double Part = std::clamp((Level - m_shares.nextStart(Other.Account)) /
+                                       Other.QueuedCost,
+                                   0.0, 1.0);
     const Load Waiting = LoadAhead(Other);
-    Ahead.Tokens += std::min(Waiting.Tokens, Own.Tokens + Tokens);
-    Ahead.Requests += std::min(Waiting.Requests, Own.Requests + 1);
+    Ahead.Tokens += Part * Waiting.Tokens;
+    Ahead.Requests += Part * Waiting.Requests;
   }
   const double Reading = Ahead.Tokens / tokensPerMs(Now);
-  const double Slots = static_cast<double>(Ahead.Requests) / requestsPerMs(Now);
+  const double Slots = Ahead.Requests / requestsPerMs(Now);
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(std::max(Reading, Slots)));
 }
@@ -535,7 +541,8 @@
 
 Duration ModelDispatcher::queueWaitLimit(const QueuedRequest &Queued,
                                          const WorkspaceQueue &Queue,
-                                         Duration Reading) const {
+                                         Duration Reading,
+                                         TimePoint Now) const {
   const ModelRequest &Request = Queued.Request;
   if (Request.Repeated)
     return Request.FirstTokenDeadline - Request.Arrived;
@@ -543,7 +550,7 @@
       std::max(Request.FirstTokenTarget, Reading + LargePromptSlack);
   Duration MissedTargetWait = Queued.Returned ? m_options.MissedTargetWait * 2
                                               : m_options.MissedTargetWait;
-  if (isUnderserved(Queue))
+  if (m_shares.isUnderserved(Queue.Account, Now))
     MissedTargetWait += m_options.UnderservedWait;
   return std::min<Duration>(Target + MissedTargetWait,
                             Request.FirstTokenDeadline - Request.Arrived);
@@ -562,8 +569,6 @@
   WorkspaceQueue &Queue = m_queues[Queued.Request.Workspace];
   if (Now - m_rankedAt >= MaxRankingAge)
     rankEngines(Now);
-  decay(Queue, Now);
-  Queue.Requested += costInTokens(Queued.Request);
   Queue.Totals.RequestedTokens += costInTokens(Queued.Request);
   const EngineChoice Best = choose(Queued, Queue, Now);
   const double Tokens =
@@ -572,14 +577,18 @@
                 Best.Destination->Estimate.tokensPerMs()
           : Queued.Request.PromptTokens;
   Queued.ReadingTokens = Tokens;
-  const Duration Wait = expectedWait(Queue, Tokens, Queued.Returned, Now);
+  // The queued requests have reserved engine time in the last pump, too.
+  const Duration Ahead = expectedWait(Queue, Queued, Now);
+  const Duration Wait =
+      Ahead - scaled(std::min(Ahead, Best.ReservedWait), 1.0 - LaterRequests);
   const bool Unreachable =
       !Best.Destination ||
       (Now - Queued.Request.Arrived) + Wait + Best.FirstToken >
-          queueWaitLimit(Queued, Queue, Best.Reading);
+          queueWaitLimit(Queued, Queue, Best.Reading, Now);
   if (Unreachable)
     return refuse(Queued, Wait + Best.FirstToken, Now);
   Queue.QueuedTokens += Tokens;
+  Queue.QueuedCost += costInTokens(Queued.Request);
   if (Queued.Returned) {
     Queue.ReturnedTokens += Tokens;
     ++Queue.ReturnedItems;
@@ -598,7 +607,9 @@
       std::clamp(std::chrono::duration_cast<Milliseconds>(scaled(Wait, Spread)),
                  m_options.MinRetryAfter, m_options.MaxRetryAfter);
   ++m_totals.Refused;
-  ++m_queues[Refused.Request.Workspace].Totals.Refused;
+  WorkspaceQueue &Queue = m_queues[Refused.Request.Workspace];
+  ++Queue.Totals.Refused;
+  Queue.Account.LastUnmet = Now;
   if (const std::uint64_t Part = lastPartId(Refused.Request)) {
     pruneExpectedReturns(Now);
     m_expectedReturns[Part] = Now + RetryAfter + ReturnWindow;
@@ -621,6 +632,7 @@
 void ModelDispatcher::removeItem(WorkspaceQueue &Queue, std::size_t Index) {
   const QueuedRequest &Removed = Queue.Items[Index];
   Queue.QueuedTokens -= Removed.ReadingTokens;
+  Queue.QueuedCost -= costInTokens(Removed.Request);
   if (Removed.Returned) {
     Queue.ReturnedTokens -= Removed.ReadingTokens;
     --Queue.ReturnedItems;
@@ -630,7 +642,7 @@
   if (Queue.ReturnedItems == 0)
     Queue.ReturnedTokens = 0.0;
   if (Queue.Items.empty())
-    Queue.QueuedTokens = 0.0;
+    Queue.QueuedTokens = Queue.QueuedCost = 0.0;
   --m_queued;
 }
 
@@ -695,7 +707,10 @@
   std::size_t Tried = 0;
   for (const QueueEntry &Entry : Entries) {
     QueuedRequest &Queued = Queue.Items[Entry.Index];
-    if (Queued.DeferredInPump == m_pumps)
+    if (Queued.Returned && !Queued.Request.Repeated)
+      Queued.LateInPump = m_pumps;
+    const bool KnownLate = Queued.LateInPump == m_pumps;
+    if (Queued.DeferredInPump == m_pumps || KnownLate != TargetMissed)
       continue;
     const EngineChoice Best = choose(Queued, Queue, Now);
     if (!Best.Destination)
@@ -703,8 +718,10 @@
     const bool MeetsTarget =
         Queued.Request.Repeated ||
         (!Queued.Returned && Now + Best.FirstToken <= Entry.Due);
-    if (MeetsTarget == TargetMissed)
+    if (!MeetsTarget && !TargetMissed) {
+      Queued.LateInPump = m_pumps;
       continue;
+    }
     if (!Best.AcceptsNow) {
       Queued.DeferredInPump = m_pumps;
       Queued.LastPredictedFirstToken = Best.FirstToken;
@@ -722,7 +739,9 @@
          .Waited = Now - Queued.Request.Arrived,
          .PredictedFirstToken = Best.FirstToken});
     place(Queued, Best, Now);
-    Queue.Served += costInTokens(Queued.Request);
+    m_shares.serve(Queue.Account, costInTokens(Queued.Request));
+    if (TargetMissed)
+      Queue.Account.LastUnmet = Now;
     Queue.Totals.PlacedTokens += costInTokens(Queued.Request);
     ++Queue.Totals.Placed;
     removeItem(Queue, Entry.Index);
@@ -740,15 +759,16 @@
       // The last prediction is checked first, because it is cheap and most
       // requests pass.
       if (Waited + Queued.LastPredictedFirstToken <=
-          queueWaitLimit(Queued, Queue, Queued.LastPredictedReading)) {
+          queueWaitLimit(Queued, Queue, Queued.LastPredictedReading, Now)) {
         ++I;
         continue;
       }
       const EngineChoice Best = choose(Queued, Queue, Now);
       Queued.LastPredictedFirstToken = Best.FirstToken;
       Queued.LastPredictedReading = Best.Reading;
-      if (Best.Destination && Waited + Best.FirstToken <=
-                                  queueWaitLimit(Queued, Queue, Best.Reading)) {
+      if (Best.Destination &&
+          Waited + Best.FirstToken <=
+              queueWaitLimit(Queued, Queue, Best.Reading, Now)) {
         ++I;
         continue;
       }
@@ -757,38 +777,47 @@
     }
 }
 
+void ModelDispatcher::placeInFairOrder(TimePoint Now,
+                                       std::vector<ModelDecision> &Out) {
+  struct Candidate {
+    WorkspaceQueue *Queue;
+    bool TargetMissed;
+  };
+  std::vector<Candidate> Candidates;
+  for (auto &[Name, Queue] : m_queues)
+    if (!Queue.Items.empty())
+      for (const bool TargetMissed : {false, true})
+        Candidates.push_back({&Queue, TargetMissed});
+  const auto StartOf = [this](const Candidate &Waiting) {
+    return m_shares.nextStart(Waiting.Queue->Account) +
+           (Waiting.TargetMissed ? m_shares.credit() : 0.0);
+  };
+  while (m_queued > 0 && !Candidates.empty()) {
+    const auto First =
+        std::min_element(Candidates.begin(), Candidates.end(),
+                         [&](const Candidate &A, const Candidate &B) {
+                           return std::pair(StartOf(A), A.TargetMissed) <
+                                  std::pair(StartOf(B), B.TargetMissed);
+                         });
+    if (First->Queue->Items.empty() ||
+        !placeOne(*First->Queue, First->TargetMissed, Now, Out))
+      Candidates.erase(First);
+  }
+}
+
 std::vector<ModelDecision> ModelDispatcher::pump(TimePoint Now) {
   std::vector<ModelDecision> Out;
   updateLoad(Now);
+  updateFairShare(Now);
   ++m_pumps;
   for (auto &[Id, Tracked] : m_engines) {
     Tracked.Reserved = Duration{0};
     Tracked.ReservedSlots = 0;
   }
   rankEngines(Now);
-  m_maxServed = 0.0;
-  for (auto &[Name, Queue] : m_queues) {
-    decay(Queue, Now);
-    m_maxServed = std::max(m_maxServed, Queue.Served);
-  }
   if (m_queued == 0)
     return Out;
-  // Requests that can still meet their target are placed first; the others use
-  // the remaining capacity.
-  for (const bool TargetMissed : {false, true}) {
-    std::set<const WorkspaceQueue *> Exhausted;
-    while (m_queued > 0) {
-      WorkspaceQueue *LeastServed = nullptr;
-      for (auto &[Name, Queue] : m_queues)
-        if (!Queue.Items.empty() && !Exhausted.contains(&Queue) &&
-            (!LeastServed || Queue.Served < LeastServed->Served))
-          LeastServed = &Queue;
-      if (!LeastServed)
-        break;
-      if (!placeOne(*LeastServed, TargetMissed, Now, Out))
-        Exhausted.insert(LeastServed);
-    }
-  }
+  placeInFairOrder(Now, Out);
   refuseUnreachable(Now, Out);
   return Out;
 }
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -532,8 +532,7 @@
 // Guards against starvation of long prompts: a workspace whose prompts are too
 // long to meet their target got less than half of its requests placed, because
 // requests of others that could still meet theirs all went first.
-// Listed in KNOWN-RED.txt.
-TEST_F(DispatcherFixture, DISABLED_LatePromptsAreNotStarvedByThoseInTime) {
+TEST_F(DispatcherFixture, LatePromptsAreNotStarvedByThoseInTime) {
   replicas(2);
   int Offered = 0;
   int Placed = 0;
