End the grace time of lapsed entries in time after a daemon was cut off

Cause: entries missing after failed calls count as lapsed in an outage of the store, and are kept for 2.2 s after this daemon's own recovery. Three VMs were cut off alone until 13.0 s, listed at 14.19 s and kept a replica that had left at 12.887 s until 16.54 s; they must act on the store from 16.0 s on.

Lapsed entries are removed within 0.1 s.

Ruled out there: a draining record replaced by a ready one, and requests under way (the log shows neither).

--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -18,6 +18,9 @@
   /// Whether KeyRevocation also binds a daemon that can't reach the store. If
   /// not, keys are accepted by the last desired state that is known.
   bool RevokeWhenPartitioned = true;
+  /// Time after this daemon's connection to the store is restored by which it
+  /// must act on what the store holds then.
+  Milliseconds StoreCatchUp{3000};
   /// Time from a stop signal to the kill.
   Milliseconds StopGrace{8000};
   /// Time for which callers may cache a directory answer.
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -454,15 +454,15 @@
     m_lastOutcomeBroadcast = Now;
     m_beacon.sendNow();
   }
+  const auto Removed = m_state.Replicas.expire(Now);
+  for (const routing::ReplicaId &Id : Removed)
+    m_log.line(LogClass::State, "replica.gone", {{"replica", Id}});
+  if (!Removed.empty())
+    replicasChanged();
   if (Now - m_lastSweep >= SweepInterval) {
     m_lastSweep = Now;
     updateRetryFloors();
     m_state.Limits.expire(Now);
-    const auto Removed = m_state.Replicas.expire(Now);
-    for (const routing::ReplicaId &Id : Removed)
-      m_log.line(LogClass::State, "replica.gone", {{"replica", Id}});
-    if (!Removed.empty())
-      replicasChanged();
     m_pool.sweep(m_state.Replicas);
     m_front.closeIdleAbove(
         static_cast<std::size_t>(MaxCallerDescriptorShare *
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -53,6 +53,7 @@
       "  directory: 127.0.0.1:4\n  internal: 127.0.0.1:5\n"
       "  metrics: 127.0.0.1:6\nmemory_mb: 160.5\ndescriptors: 1e12\n"
       "bounds:\n  key_revocation_ms: 5000.5\n  stop_grace_s: 7.5\n"
+      "  store_catch_up_ms: 0\n"
       "  retry_share: 0\n  retry_window_s: 2.5\n  retry_floor: 35.8\n"
       "  cold_overage: 0\n  revoke_when_partitioned: false\n";
   GatewaySettings Read;
@@ -62,6 +63,7 @@
   }));
   EXPECT_EQ(Read.Bounds.KeyRevocation, 5000ms);
   EXPECT_EQ(Read.Bounds.StopGrace, 7500ms);
+  EXPECT_EQ(Read.Bounds.StoreCatchUp, 0ms);
   EXPECT_EQ(Read.Bounds.RetryWindow, 2500ms);
   EXPECT_DOUBLE_EQ(Read.Bounds.RetryFloor, 35.8);
   EXPECT_FALSE(Read.Bounds.RevokeWhenPartitioned);
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -28,6 +28,8 @@
                                   Default.KeyRevocation),
       .RevokeWhenPartitioned = valueOr<bool>(Node, "revoke_when_partitioned",
                                              Default.RevokeWhenPartitioned),
+      .StoreCatchUp = durationIn(Node, "store_catch_up_ms", MillisecondUnit,
+                                 Default.StoreCatchUp),
       .StopGrace = durationIn(Node, "stop_grace_s", SecondUnit, StopGrace),
       .DirectoryTtl = std::chrono::seconds(positiveInteger(
           Node, "directory_ttl_s", Default.DirectoryTtl.count())),
