Never use a start of a replica again that was draining or said it leaves

By reading, not seen in a play: ReplicaTable::upsert took a record that says ready over one of the same start that said draining, and created a replica anew that had left, without what its answers had said. Only the first list after a restore was guarded.

The rule now stands in upsert, for every way in which a record arrives: what leaves stays so until a new start. Records without a start time can't be told apart and are taken as they are; an entry that only lapsed may be renewed.

--- a/include/nutmegdrift/routing/replica_table.h
+++ b/include/nutmegdrift/routing/replica_table.h
@@ -115,10 +115,12 @@
   void replaceAll(const std::vector<ReplicaRecord> &Records, TimePoint Now,
                   std::optional<TimePoint> KeepUntil);
   /// Applies a complete list of a store that was restored from an older copy. A
-  /// replica that was draining or gone before stays so, as long as the list has
-  /// the same start of it. Replicas missing from it are removed at KeepUntil.
+  /// replica that was gone before stays so, as long as the list has the same
+  /// start of it. Replicas missing from it are removed at KeepUntil.
   void restoreAll(const std::vector<ReplicaRecord> &Records, TimePoint Now,
                   TimePoint KeepUntil);
+  /// Applies one record. A start of a replica that was draining stays so,
+  /// whatever later records of it say.
   void upsert(const ReplicaRecord &Record, TimePoint Now);
   /// Removes a replica, at once or at KeepUntil. This is a time and not a
   /// length, so that a replica that lapses just before the grace period of an
@@ -153,10 +155,14 @@
   [[nodiscard]] std::uint64_t generation() const { return m_generation; }
 
 private:
+  /// Whether this start of the replica was draining or said that it leaves.
+  [[nodiscard]] bool leaves(const ReplicaRecord &Record) const;
+
   std::map<ReplicaId, Replica> m_replicas;
   std::map<ReplicaId, TimePoint> m_removalTimes; ///< Of lapsed entries.
   struct Departure {
     std::int64_t StartMillis = 0;
+    bool Leaving = false; ///< It was draining, or said that it leaves.
     std::optional<TimePoint> ForgetAt{}; ///< Set by the next expire().
   };
   std::map<ReplicaId, Departure> m_departures;
--- a/src/nutmegdrift/routing/replica_table.cpp
+++ b/src/nutmegdrift/routing/replica_table.cpp
@@ -76,21 +76,30 @@
 void ReplicaTable::restoreAll(const std::vector<ReplicaRecord> &Records,
                               TimePoint Now, TimePoint KeepUntil) {
   std::vector<ReplicaRecord> Current;
-  for (ReplicaRecord Record : Records) {
+  for (const ReplicaRecord &Record : Records) {
     const auto Gone = m_departures.find(Record.Id);
-    if (Gone != m_departures.end() &&
-        Gone->second.StartMillis == Record.StartMillis)
-      continue;
-    const auto Known = m_replicas.find(Record.Id);
-    if (Known != m_replicas.end() &&
-        Known->second.Record.StartMillis == Record.StartMillis)
-      Record.Draining = Record.Draining || Known->second.Record.Draining;
-    Current.push_back(std::move(Record));
+    if (Gone == m_departures.end() ||
+        Gone->second.StartMillis != Record.StartMillis)
+      Current.push_back(Record);
   }
   replaceAll(Current, Now, KeepUntil);
 }
 
-void ReplicaTable::upsert(const ReplicaRecord &Record, TimePoint Now) {
+bool ReplicaTable::leaves(const ReplicaRecord &Record) const {
+  const auto Known = m_replicas.find(Record.Id);
+  if (Known != m_replicas.end() &&
+      Known->second.Record.StartMillis == Record.StartMillis)
+    return Known->second.Record.Draining || Known->second.Leaving;
+  const auto Gone = m_departures.find(Record.Id);
+  return Gone != m_departures.end() && Gone->second.Leaving &&
+         Gone->second.StartMillis == Record.StartMillis;
+}
+
+void ReplicaTable::upsert(const ReplicaRecord &Received, TimePoint Now) {
+  ReplicaRecord Record = Received;
+  // Two starts without a known time can't be told apart.
+  Record.Draining =
+      Record.Draining || (Record.StartMillis != 0 && leaves(Record));
   m_removalTimes.erase(Record.Id);
   m_departures.erase(Record.Id);
   const auto [Entry, Inserted] = m_replicas.try_emplace(Record.Id);
@@ -117,7 +126,9 @@
     m_removalTimes.try_emplace(Id, *KeepUntil);
     return;
   }
-  m_departures[Id] = {.StartMillis = Known->second.Record.StartMillis};
+  m_departures[Id] = {.StartMillis = Known->second.Record.StartMillis,
+                      .Leaving = Known->second.Record.Draining ||
+                                 Known->second.Leaving};
   m_replicas.erase(Known);
   m_removalTimes.erase(Id);
   ++m_generation;
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace nutmegdrift::routing {
 namespace {
 
@@ -113,6 +115,56 @@
   EXPECT_FALSE(Table.find("stays"));
 }
 
+// A replica got requests again after it had said that it leaves, because a
+// later record of the same start said that it was ready.
+TEST(ReplicaTable, AStartThatLeavesIsNeverUsedAgain) {
+  const auto Record = [](std::int64_t StartMillis, bool Draining = false) {
+    ReplicaRecord Made = record("a");
+    Made.StartMillis = StartMillis;
+    Made.Draining = Draining;
+    return Made;
+  };
+  using Step = std::function<void(ReplicaTable &)>;
+  const Step Drains = [&](ReplicaTable &T) {
+    T.upsert(Record(1, true), Start);
+  };
+  const Step Answers = [](ReplicaTable &T) { T.find("a")->Leaving = true; };
+  const Step Goes = [](ReplicaTable &T) { T.remove("a", std::nullopt); };
+  const Step Lapses = [](ReplicaTable &T) {
+    T.remove("a", Start + 1s);
+    T.expire(Start + 1s);
+  };
+  const Step Missing = [](ReplicaTable &T) {
+    T.replaceAll({}, Start, std::nullopt);
+  };
+  const Step Changes = [&](ReplicaTable &T) {
+    ReplicaRecord Warm = Record(1);
+    Warm.ColdRemaining = 1s;
+    T.upsert(Warm, Start);
+  };
+  const Step Listed = [&](ReplicaTable &T) {
+    T.replaceAll({Record(1)}, Start, std::nullopt);
+  };
+  for (const Step &Leaves : {Drains, Answers})
+    for (const Step &Then : {Changes, Goes, Lapses, Missing})
+      for (const Step &Back : {Listed, Changes}) {
+        ReplicaTable Table;
+        Table.upsert(Record(1), Start);
+        Leaves(Table);
+        Then(Table);
+        Back(Table);
+        EXPECT_TRUE(Table.usable("s").empty());
+        Table.upsert(Record(2), Start);
+        EXPECT_EQ(Table.usable("s").size(), 1U);
+      }
+  // An entry that only lapsed may be renewed.
+  ReplicaTable Table;
+  Table.upsert(Record(1), Start);
+  Lapses(Table);
+  Listed(Table);
+  EXPECT_EQ(Table.usable("s").size(), 1U);
+}
+
 TEST(ReplicaTable, LeavesOutDrainingReplicasAndEvacuatedZones) {
   ReplicaTable Table;
   ReplicaRecord DrainingRecord = record("a");
