--- a/src/nutmegdrift/gateway/broken_replica_test.cpp
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -88,14 +88,18 @@
       "Content-Type: text/event-stream\r\n", ""};
   const std::vector<std::string> Interims = {
       "", "HTTP/1.1 102 Processing\r\nMore: x\r\n\r\n"};
-  for (const std::string Path :
-       {"/safe/x", "/once/x", "/stream/x", "/resume/x"})
+  for (const char *Path : {"/safe/x", "/once/x", "/stream/x", "/resume/x"})
     for (const std::string &Interim : Interims)
       for (const std::string &Framing : Framings)
         for (const bool Kept : {false, true}) {
-          SCOPED_TRACE(Path + " " + Framing + Interim + (Kept ? "kept" : ""));
+          SCOPED_TRACE(::testing::Message() << Path << ' ' << Framing << Interim
+                                            << (Kept ? "kept" : "fresh"));
           const auto HeadFor = [&](const std::string &Request) {
-            return Interim + headOf(Request) + Framing + "\r\n";
+            std::string Head = Interim;
+            for (const std::string &Part :
+                 {headOf(Request), Framing, std::string("\r\n")})
+              Head += Part;
+            return Head;
           };
           std::size_t Cut = 0;
           bool Whole = false;
--- a/src/nutmegdrift/routing/fair_share_test.cpp
+++ b/src/nutmegdrift/routing/fair_share_test.cpp
@@ -186,6 +186,7 @@
   void setEngines(int Count) {
     m_engines = Count;
     std::vector<ReplicaRecord> Records;
+    Records.reserve(static_cast<std::size_t>(Count));
     for (int I = 0; I < Count; ++I)
       Records.push_back({.Id = engineName(I), .Service = "s", .Slots = 32});
     m_table.replaceAll(Records, m_now, std::nullopt);
