Count requests without tokens in the order of workspaces

Requests of a plain service that names a rate have no tokens, so they were charged nothing: all workspaces stayed level, and the predicted wait divided by the cost of a queue, which was zero.

A request now costs one token at least.

--- a/src/nutmegdrift/routing/fair_share_test.cpp
+++ b/src/nutmegdrift/routing/fair_share_test.cpp
@@ -146,6 +146,10 @@
     ReplicaId Engine{};
   };
 
+  /// Requests of plain services have no tokens and are counted.
+  static double sizeOf(std::uint32_t Tokens) {
+    return std::max(1.0, static_cast<double>(Tokens));
+  }
   static std::string engineName(int Number) {
     return "r" + std::to_string(Number);
   }
@@ -176,7 +180,7 @@
       Got += Own.Got;
     }
     const WorkspaceLoad &Load = m_load.Workspaces[Tested];
-    Got += 3.0 * std::max(Load.Tokens, Load.LargeTokens);
+    Got += 3.0 * sizeOf(std::max(Load.Tokens, Load.LargeTokens));
     return Due > 0.0 ? Got / Due : 1.0;
   }
 
@@ -222,7 +226,7 @@
                         .Prompt = {{.Id = m_random(), .Tokens = 100}},
                         .PromptTokens = Large ? Load.LargeTokens : Load.Tokens,
                         .FirstTokenTarget = 400ms};
-        tally(W).Requested += Next.Request.PromptTokens;
+        tally(W).Requested += sizeOf(Next.Request.PromptTokens);
         offer(std::move(Next));
       }
     }
@@ -249,7 +253,7 @@
       return;
     }
     Tally &Got = tally(Decided.Workspace);
-    Got.Got += Decided.Request.PromptTokens;
+    Got.Got += sizeOf(Decided.Request.PromptTokens);
     Got.Unmet = Got.Unmet || Decided.Returned;
     Decided.Engine = Decision.Destination;
     TimePoint &Busy = m_busyUntil[Decision.Destination];
@@ -320,7 +324,7 @@
   EXPECT_GE(Replay.smallestShare(), 0.5);
 }
 
-const std::array<ReplayedLoad, 8> Loads{
+const std::array<ReplayedLoad, 9> Loads{
     {{.Name = "QuarterOfTheRate",
       .Workspaces = oneLargeWorkspace(),
       .NamedRate = 4.5},
@@ -350,6 +354,11 @@
       .Workspaces = {{.PerSecond = 80, .Tokens = 300},
                      {.PerSecond = 10, .Tokens = 6000},
                      {.PerSecond = 10, .Tokens = 6000}},
+      .NamedRate = 3.0},
+     {.Name = "PlainRequestsUnderARate",
+      .Workspaces = {{.PerSecond = 80, .Tokens = 0},
+                     {.PerSecond = 10, .Tokens = 0},
+                     {.PerSecond = 4, .Tokens = 0}},
       .NamedRate = 3.0}}};
 
 INSTANTIATE_TEST_SUITE_P(All, ShareUnderLoad, ::testing::ValuesIn(Loads),
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -55,8 +55,9 @@
 
 double costInTokens(const ModelRequest &Request) {
   // An output token takes about as much engine time as two prompt tokens.
-  return static_cast<double>(Request.PromptTokens) +
-         2.0 * static_cast<double>(Request.OutputTokens);
+  // Requests of plain services have no tokens and are counted.
+  return std::max(1.0, static_cast<double>(Request.PromptTokens) +
+                           2.0 * static_cast<double>(Request.OutputTokens));
 }
 
 Duration scaled(Duration Time, double Factor) {
@@ -514,7 +515,7 @@
     if (&Other == &Queue || Other.Items.empty())
       continue;
     const double Part = std::clamp((Level - m_shares.nextStart(Other.Account)) /
-                                       Other.QueuedCost,
+                                       std::max(Other.QueuedCost, 1.0),
                                    0.0, 1.0);
     const Load Waiting = LoadAhead(Other);
     Ahead.Tokens += Part * Waiting.Tokens;
