Reset only connections that both ends have in the test of flowing bytes

The test resets the link 20 ms after the callers began to connect; under load some connections had not reached the server by then (859, 950 and 952 had, of 1000), so nothing could end there. The verdict depended on the speed of the machine.

The link itself is not changed.

--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -232,6 +232,7 @@
 TEST_F(LinkTest, ResetsConnectionsWhileBytesFlow) {
   constexpr int Rounds = 20;
   constexpr int Callers = 50;
+  int Begun = 0;
   int Left = 0;
   const auto Write = [this](const std::shared_ptr<net::ServerExchange> &To,
                             const std::shared_ptr<net::Timer> &Next,
@@ -244,6 +245,7 @@
   net::HttpServer Streams(
       Loop, Clk, [&](const std::shared_ptr<net::ServerExchange> &Each) {
         Each->OnCallerDisconnected = [&Left] { ++Left; };
+        ++Begun;
         Each->begin(200, {}, std::nullopt);
         Write(Each, std::make_shared<net::Timer>(Loop), Write);
       });
@@ -262,6 +264,12 @@
                           .Body = {}}),
           1s, {.OnFailure = [&Reset](net::ClientFailure) { ++Reset; }});
     }
+    // A reset can only reach both ends of connections that have both.
+    const auto BegunBy = std::chrono::steady_clock::now() + 10s;
+    while (Begun < (I + 1) * Callers &&
+           std::chrono::steady_clock::now() < BegunBy)
+      Loop.run_one_for(1ms);
+    ASSERT_EQ(Begun, (I + 1) * Callers);
     const auto ResetAt = std::chrono::steady_clock::now() + 20ms + I * 50us;
     while (std::chrono::steady_clock::now() < ResetAt)
       Loop.run_one_for(1ms);
