--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -124,6 +124,8 @@
   /// Records the pace of a stream once, when it has lasted for PaceTime or
   /// ends.
   void recordPace();
+  /// Tells the rollouts that the current attempt has no answer yet.
+  void recordWait(const routing::ReplicaRecord &Replica);
   void recordVersionSample(const routing::ReplicaRecord &Replica,
                            routing::ReplicaOutcome Outcome);
   void finish();
@@ -173,6 +175,8 @@
   Duration m_predictedFirstToken{0};
   net::Timer m_deadlineTimer;
   net::Timer m_responseTimer;
+  net::Timer m_slowTimer;      ///< Until the answer is slow for its version.
+  bool m_waitReported = false; ///< That the current attempt's answer is slow.
   bool m_finished = false;
 };
 
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -55,6 +55,10 @@
                          const VersionRequests &) = default;
 };
 
+/// What a daemon knows of a version that is tried. Unknown: it saw less of the
+/// trial than the others.
+enum class TrialVerdict { Unknown, Open, Proven };
+
 /// The progress of a rollout as one daemon sees it.
 struct RolloutStatus {
   std::string Service;
@@ -62,6 +66,7 @@
   RolloutStage Stage = RolloutStage::Canary;
   Milliseconds Elapsed{0}; ///< Since the operators' order.
   VersionRequests Sent{};  ///< By the sender of the status.
+  TrialVerdict Verdict = TrialVerdict::Unknown;
 
   friend bool operator==(const RolloutStatus &,
                          const RolloutStatus &) = default;
--- a/include/nutmegdrift/policy/version_judge.h
+++ b/include/nutmegdrift/policy/version_judge.h
@@ -35,6 +35,11 @@
   /// Only TokenGap is known, because the request still runs or was cut. It is
   /// tested apart from the outcomes.
   bool PaceOnly = false;
+  /// The answer has not begun, or its caller left before: FirstToken is a lower
+  /// bound, and the sample is no outcome.
+  bool WaitOnly = false;
+  /// A WaitOnly sample of the same request went before.
+  bool WaitReported = false;
 
   friend bool operator==(const VersionSample &,
                          const VersionSample &) = default;
@@ -110,22 +115,49 @@
                          const OutcomeCounts &) = default;
 };
 
+/// Probability of an event at a good version, and at a bad one.
+struct EventShares {
+  double Good = 0.0;
+  double Bad = 0.0;
+};
+
 /// Likelihood ratio of a bad version against a good one, by how often an event
-/// occurs. At least 1, so that a good beginning doesn't hide a later fault.
+/// occurs. It has a floor, so that a good beginning doesn't hide a later fault.
 class LikelihoodRatio {
 public:
-  /// Good, Bad: probability of the event at a good version at most, and at a
-  /// bad one.
-  void add(bool Event, double Good, double Bad) {
-    const double Factor = Event ? Bad / Good : (1.0 - Bad) / (1.0 - Good);
-    m_value = std::max(1.0, m_value * Factor);
+  static constexpr double MaxValue = 1e12;
+
+  explicit LikelihoodRatio(double Floor, double Ceiling = MaxValue)
+      : m_floor(Floor), m_ceiling(Ceiling) {}
+
+  void raiseTo(double Value) { m_value = std::max(m_value, Value); }
+
+  void add(bool Event, const EventShares &Shares) {
+    const double Factor = Event ? Shares.Bad / Shares.Good
+                                : (1.0 - Shares.Bad) / (1.0 - Shares.Good);
+    m_value = std::clamp(m_value * Factor, m_floor, m_ceiling);
   }
   [[nodiscard]] double value() const { return m_value; }
 
 private:
+  double m_floor;
+  double m_ceiling;
   double m_value = 1.0;
 };
 
+/// What is not known of a version. Neither bound of the sequential test is
+/// reached, so the version may be good or bad.
+struct VersionDoubt {
+  RouteName Route; ///< Empty: all routes together.
+  VersionSignal Signal = VersionSignal::Errors;
+  std::uint64_t Compared = 0; ///< Samples of the new version until then.
+
+  friend bool operator==(const VersionDoubt &, const VersionDoubt &) = default;
+};
+
+/// "errors on ROUTE after 12 samples".
+std::string toString(const VersionDoubt &Doubt);
+
 /// Pairs each sample of the new version with one of the old version on the same
 /// route at the same time, and tests the pairs that differ. Pairing makes the
 /// test insensitive to load or faults that affect both versions.
@@ -137,7 +169,11 @@
 /// Beside this, likelihood ratios test for large differences: more failures,
 /// several times slower answers, and a several times slower pace of streams
 /// that have not ended (VersionSample::PaceOnly). They use all outcomes of the
-/// old version and so need fewer of the new one. Not thread-safe.
+/// old version and so need fewer of the new one. Each has two bounds, as in
+/// Wald's sequential test: at BadRatio the version is bad, at ProvenRatio it is
+/// good, and between them doubt() says what is missing. They test all routes
+/// together, and each route with enough requests by itself, because a version
+/// may be bad on one route only. Not thread-safe.
 class VersionJudge {
 public:
   /// Probability of judging a good version bad, over one rollout.
@@ -167,6 +203,26 @@
   /// are soon full, and so yields little evidence.
   static constexpr double BadRatio = 500.0;
   static constexpr double SuspectRatio = 20.0;
+  /// Of one route, of which there may be many.
+  static constexpr double BadRouteRatio = 2000.0;
+  /// Likelihood ratio at which a version is shown to be good, over all routes
+  /// and on one route. The floor of the ratio is lower, so that a single event
+  /// doesn't raise the doubt again.
+  static constexpr double ProvenRatio = 0.05;
+  static constexpr double ProvenRouteRatio = 0.25;
+  static constexpr double MinRatio = 0.005;
+  static constexpr double MaxRatio = 2.0;
+  /// What requireMoreProof() raises the ratio to.
+  static constexpr double ReproofRatio = 0.3;
+  /// A route with fewer outcomes of the old version is judged together with
+  /// the others only. With a few more, the version must not look worse than
+  /// good there, because the trial yields too little to show that it is good.
+  static constexpr std::uint64_t MinRouteOutcomes = 20;
+  static constexpr std::uint64_t ProvableRouteOutcomes = 40;
+  /// Streams and first tokens of the old version that must be known before the
+  /// new version has to be proved by them.
+  static constexpr std::uint64_t MinStreamsToProve = 100;
+  static constexpr std::uint64_t MinFirstTokensToProve = 20;
   /// The same for the wealth of a paired test. It may be that large by chance
   /// in one of a hundred tests.
   static constexpr double SuspectWealth = 100.0;
@@ -175,10 +231,17 @@
   /// more.
   static constexpr double GoodExcess = 0.05;
   static constexpr double BadExcess = 0.25;
-  /// Failures are compared with those of this time before. It is short, because
-  /// all versions may fail more for some seconds.
+  /// A good version that fails or is slow more often than this is taken for one
+  /// that does so this often.
+  static constexpr double MaxGoodShare = 0.9;
+  /// Failures are compared with those of this time before on the same route, or
+  /// with the last MinOldOutcomes. It is short, because all versions may fail
+  /// more for some seconds.
   static constexpr Duration FailureWindow = std::chrono::seconds(3);
   static constexpr std::size_t MinOldOutcomes = 20;
+  static constexpr std::size_t MinOldFirstTokens = 12;
+  /// With fewer nothing is compared.
+  static constexpr std::size_t MinBaseline = 5;
   /// Share of slow streams of a good version at most, and of a bad one.
   static constexpr double GoodSlowShare = 0.25;
   static constexpr double BadSlowShare = 0.6;
@@ -188,7 +251,7 @@
   /// version are slower by up to three for some seconds after their start.
   static constexpr std::size_t MinOldPaces = 5;
   static constexpr double PaceFactor = 4.0;
-  /// The same for the time to the first token, of MinOldOutcomes or more.
+  /// The same for the time to the first token.
   static constexpr double FirstTokenFactor = 3.0;
   /// A version is starved below this part of its share.
   static constexpr double StarvedPart = 1.0 / 3.0;
@@ -209,6 +272,27 @@
   /// The signal with a likelihood ratio of at least SuspectRatio or a wealth of
   /// at least SuspectWealth, if any.
   [[nodiscard]] std::optional<VersionSignal> suspicion() const;
+  /// The version gets a larger load. It has to be shown to be good again, with
+  /// fewer samples than before.
+  void requireMoreProof();
+  /// Why the version is not shown to be good; nothing if it is.
+  [[nodiscard]] std::optional<VersionDoubt> doubt() const;
+  /// The same for one route, however few requests it has. Ratio: the largest
+  /// likelihood ratio without a doubt.
+  [[nodiscard]] std::optional<VersionDoubt>
+  doubtOn(const RouteName &Route, double Ratio = ProvenRouteRatio) const;
+  /// The time after which an answer that has not begun is slow; nothing if too
+  /// little is known of the old version.
+  [[nodiscard]] std::optional<Duration> slowTime(const RouteName &Route) const;
+  /// Outcomes on one route, at both versions and at the new one.
+  struct RouteOutcomes {
+    std::uint64_t All = 0;
+    std::uint64_t New = 0;
+  };
+  [[nodiscard]] const std::map<RouteName, RouteOutcomes> &
+  routeOutcomes() const {
+    return m_routeOutcomes;
+  }
   [[nodiscard]] const OutcomeCounts &newOutcomes() const {
     return m_newOutcomes;
   }
@@ -234,18 +318,32 @@
     std::deque<VersionSample> New; ///< Unpaired, oldest first.
   };
 
+  /// Both ratios of one signal.
+  struct SignalRatios {
+    LikelihoodRatio Against{1.0}; ///< Finds a bad version.
+    LikelihoodRatio Remaining{MinRatio,
+                              MaxRatio}; ///< Shows that a version is good.
+    std::uint64_t Compared = 0;
+  };
+  using Ratios = std::array<SignalRatios, VersionSignalCount>;
+  /// How often an event occurred at the old version on one route.
+  struct Baseline {
+    std::size_t Events = 0;
+    std::size_t All = 0;
+    bool Recent = false; ///< Any of them within PairWindow.
+  };
+
   void addPace(const VersionSample &Sample);
   void countFailure(const VersionSample &Sample);
   void addFirstToken(const VersionSample &Sample);
   void comparePaces(RouteState &Route, TimePoint Now);
   void compareFirstTokens(RouteState &Route, TimePoint Now);
-  /// Adds an event whose share at the old version is known from OldEvents of
-  /// OldAll outcomes.
-  void addRatioToOld(const RouteName &Route, VersionSignal Signal, bool Event,
-                     std::size_t OldEvents, std::size_t OldAll,
-                     std::uint64_t Compared);
-  void addRatio(const RouteName &Route, VersionSignal Signal, bool Event,
-                double Good, double Bad, std::uint64_t Compared);
+  void addEvent(const RouteName &Route, VersionSignal Signal, bool Event,
+                const Baseline &Old);
+  void addEvent(const RouteName &Route, VersionSignal Signal, bool Event,
+                const std::optional<EventShares> &Against,
+                const EventShares &Remaining);
+  [[nodiscard]] bool applies(VersionSignal Signal) const;
   RouteState &routeState(const RouteName &Route);
   void compare(RouteState &Route, const VersionSample &New,
                const VersionSample &Old);
@@ -257,10 +355,12 @@
   std::map<RouteName, RouteState> m_paceSamples;
   std::map<RouteName, RouteState> m_firstTokenSamples;
   /// Whether each request of the old version failed, within FailureWindow.
-  std::deque<std::pair<TimePoint, bool>> m_oldInWindow;
-  std::array<LikelihoodRatio, VersionSignalCount> m_ratios;
+  std::map<RouteName, std::deque<std::pair<TimePoint, bool>>> m_oldFailures;
+  Ratios m_ratios; ///< Over all routes.
+  std::map<RouteName, Ratios> m_routeRatios;
+  std::map<RouteName, RouteOutcomes> m_routeOutcomes;
   std::uint64_t m_comparedPaces = 0;
-  std::uint64_t m_comparedFirstTokens = 0;
+  std::uint64_t m_oldFirstTokens = 0;
   std::uint64_t m_oldStreams = 0;
   std::uint64_t m_newStreams = 0;
   OutcomeCounts m_newOutcomes;
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -232,7 +232,7 @@
     Duration Reserved{0};
     std::size_t ReservedSlots = 0;
     bool Usable = true;  ///< False: kept until its requests have ended.
-    bool Canary = false; ///< See Replica::Canary.
+    bool Canary = false; ///< See Replica::CanaryShare.
   };
   struct EngineChoice {
     Engine *Destination = nullptr;
@@ -314,9 +314,10 @@
   std::map<std::string, WorkspaceQueue> m_queues; ///< By workspace.
   std::size_t m_queued = 0;                       ///< Items in all queues.
   std::size_t m_canaries = 0;                     ///< Usable canary engines.
-  // Requests placed while there are canary engines, and the part of them that
-  // was placed on these.
-  std::uint64_t m_placedSinceCanaries = 0;
+  double m_canaryShare = 0.0;                     ///< See Replica.
+  // Requests due for the canary engines, by the placed ones since there are
+  // any, and those placed on them.
+  double m_dueOnCanaries = 0.0;
   std::uint64_t m_placedOnCanaries = 0;
   std::uint64_t m_pumps = 0;
   double m_load = 0.0; ///< Share of the engines that are busy reading.
--- a/include/nutmegdrift/routing/replica_table.h
+++ b/include/nutmegdrift/routing/replica_table.h
@@ -78,9 +78,10 @@
   TimePoint m_ejectedUntil{};
 };
 
-/// Share of the requests that the canary replicas of a new version get. A bad
-/// version may get a tenth until its rollout has ended; half of that leaves
-/// room for the rollout itself and for daemons that count separately.
+/// Share of the requests that the canary replicas of a new version get, after a
+/// larger one at first. A bad version may get a tenth until its rollout has
+/// ended; half of that leaves room for the rollout itself and for daemons that
+/// count separately.
 inline constexpr double CanaryShare = 0.05;
 
 /// A replica with this daemon's state of it.
@@ -90,7 +91,9 @@
   ReplicaHealth Health{};
   unsigned InFlight = 0; ///< This daemon's requests.
   ColdAllowance Cold{};  ///< For requests without a dispatcher.
-  bool Canary = false;   ///< Gets only CanaryShare of the requests.
+  /// Share of the requests that the canary replicas of its service get
+  /// together; 0 if it is none.
+  double CanaryShare = 0.0;
   /// As this start of the replica said in its answers to this daemon.
   bool Leaving = false;
   TimePoint PausedUntil{};
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -27,7 +27,7 @@
 
 Call::Call(CallEnvironment &Env, std::shared_ptr<net::ServerExchange> Exchange)
     : m_env(Env), m_exchange(std::move(Exchange)), m_deadlineTimer(Env.Loop),
-      m_responseTimer(Env.Loop) {}
+      m_responseTimer(Env.Loop), m_slowTimer(Env.Loop) {}
 
 Call::~Call() = default;
 
@@ -238,7 +238,8 @@
                            hashText(m_env.Settings.Name, hashText(m_service)));
   const routing::Replica *Chosen = routing::pickLeastUsed(
       m_env.State.Rollouts.selectForRequest(
-          m_service, m_env.State.Replicas.usable(m_service), m_attempts > 0),
+          m_service, m_route->Name, m_env.State.Replicas.usable(m_service),
+          m_attempts > 0),
       Limits, Now, m_env.Rng());
   if (Chosen) {
     send(Chosen->Record.Id);
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -181,6 +181,16 @@
   }
   m_responseTimer.callAfter(ResponseTimeout,
                             [Self] { Self->onUnresponsive(); });
+  m_waitReported = false;
+  if (isModelCall())
+    return;
+  if (const auto SlowAfter =
+          m_env.State.Rollouts.slowAfter(m_service, m_route->Name))
+    m_slowTimer.callAfter(*SlowAfter, [Self] {
+      const auto *Used = Self->m_env.State.Replicas.find(Self->m_replica);
+      if (Used && Self->m_bodyBytes == 0)
+        Self->recordWait(Used->Record);
+    });
 }
 
 void Call::onHead(net::HttpAnswerHead Head) {
@@ -632,10 +642,23 @@
        .PaceOnly = true});
 }
 
+void Call::recordWait(const routing::ReplicaRecord &Replica) {
+  const TimePoint Now = m_env.Clk.now();
+  m_waitReported = true;
+  m_env.State.Rollouts.recordWait(m_service, Replica.Version,
+                                  {.Route = m_route->Name,
+                                   .FirstToken = Now - m_sentAt,
+                                   .CompletedAt = Now});
+}
+
 void Call::recordVersionSample(const routing::ReplicaRecord &Replica,
                                ReplicaOutcome Outcome) {
   const bool Failed = Outcome == ReplicaOutcome::Failed ||
                       Outcome == ReplicaOutcome::Unresponsive;
+  // The answers that callers leave are the slow ones.
+  if (Outcome == ReplicaOutcome::Abandoned && m_bodyBytes == 0 &&
+      !m_waitReported && !isModelCall())
+    recordWait(Replica);
   if (!Failed && Outcome != ReplicaOutcome::Served)
     return;
   const TimePoint Now = m_env.Clk.now();
@@ -646,13 +669,15 @@
       // to the first token says nothing about the version.
       .Cold = isModelCall(),
       .FirstToken = m_bodyBytes > 0 ? m_firstByteAt - m_sentAt : Duration{0},
-      .CompletedAt = Now};
+      .CompletedAt = Now,
+      .WaitReported = m_waitReported};
   m_env.State.Rollouts.recordOutcome(m_service, Replica.Version,
                                      std::move(Sample));
 }
 
 void Call::releaseReplica(ReplicaOutcome Outcome) {
   m_responseTimer.cancel();
+  m_slowTimer.cancel();
   if (m_placementKey) {
     m_env.ModelPlacement.ended(*m_placementKey, Outcome,
                                m_answerMetadata.RateLimit);
@@ -685,6 +710,7 @@
   m_finished = true;
   m_deadlineTimer.cancel();
   m_responseTimer.cancel();
+  m_slowTimer.cancel();
   m_exchange->OnCallerDisconnected = nullptr;
   m_exchange->OnDrained = nullptr;
   m_exchange->OnStopping = nullptr;
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -64,7 +64,12 @@
   return json::array({Outcome.Service, Outcome.Version, Sample.Route,
                       Sample.FromNewVersion, Sample.Failed, Sample.Cold,
                       Micros(Sample.FirstToken), Micros(Sample.TokenGap),
-                      Sample.PaceOnly});
+                      Sample.PaceOnly, Sample.WaitOnly, Sample.WaitReported});
+}
+
+/// A field that older senders leave out.
+template <class T> T optionalField(const json &V, std::size_t Index) {
+  return Index < V.size() ? V.at(Index).get<T>() : T();
 }
 
 RolloutOutcome decodeRolloutOutcome(const json &V) {
@@ -83,24 +88,25 @@
                      .FirstToken = Time(6),
                      .TokenGap = Time(7),
                      .CompletedAt = {},
-                     .PaceOnly = V.size() > 8 && V.at(8).get<bool>()}};
-}
-
-/// A field that older senders leave out.
-template <class T> T optionalField(const json &V, std::size_t Index) {
-  return Index < V.size() ? V.at(Index).get<T>() : T();
+                     .PaceOnly = optionalField<bool>(V, 8),
+                     .WaitOnly = optionalField<bool>(V, 9),
+                     .WaitReported = optionalField<bool>(V, 10)}};
 }
 
 RolloutStatus decodeRolloutStatus(const json &V) {
   const int Stage = V.at(2).get<int>();
   if (Stage < 0 || Stage > static_cast<int>(RolloutStage::RolledBack))
     throw std::out_of_range("stage");
+  const int Verdict = optionalField<int>(V, 6);
+  if (Verdict < 0 || Verdict > static_cast<int>(TrialVerdict::Proven))
+    throw std::out_of_range("verdict");
   return {.Service = V.at(0).get<std::string>(),
           .Version = V.at(1).get<std::string>(),
           .Stage = static_cast<RolloutStage>(Stage),
           .Elapsed = decodeTime(V.at(3)),
           .Sent = {.All = optionalField<std::uint64_t>(V, 4),
-                   .New = optionalField<std::uint64_t>(V, 5)}};
+                   .New = optionalField<std::uint64_t>(V, 5)},
+          .Verdict = static_cast<TrialVerdict>(Verdict)};
 }
 
 // Fields appended to a message are optional for its receiver, and older
@@ -252,7 +258,8 @@
   for (const RolloutStatus &Status : B.Rollouts)
     Rollouts.push_back(json::array(
         {Status.Service, Status.Version, static_cast<int>(Status.Stage),
-         Status.Elapsed.count(), Status.Sent.All, Status.Sent.New}));
+         Status.Elapsed.count(), Status.Sent.All, Status.Sent.New,
+         static_cast<int>(Status.Verdict)}));
   json Outcomes = json::array();
   for (const RolloutOutcome &Outcome : B.Outcomes)
     Outcomes.push_back(toJson(Outcome));
--- a/src/nutmegdrift/gateway/fleet_rollouts.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts.cpp
@@ -28,6 +28,9 @@
   return 0;
 }
 
+/// Against the rounding of a sum of shares.
+constexpr double DueRounding = 1e-6;
+
 } // namespace
 
 std::string_view toString(RolloutStage Stage) {
@@ -59,11 +62,9 @@
 }
 
 TimePoint FleetRollouts::completionTime(const RolloutState &Rollout) {
-  // A Moving stage that began late still takes its minimum time.
-  return std::max(
-      timeAtFraction(Rollout, CompletionFraction),
-      Rollout.StageSince +
-          (timeAtFraction(Rollout, MinMovingFraction) - Rollout.Started));
+  // A Moving stage that began late still takes its time.
+  return std::max(timeAtFraction(Rollout, CompletionFraction),
+                  Rollout.StageSince + Rollout.MovingTime);
 }
 
 void FleetRollouts::rollBack(RolloutState &Rollout, std::string Reason,
@@ -73,17 +74,20 @@
 }
 
 double FleetRollouts::movingFraction(const RolloutState &Rollout,
-                                     std::size_t Daemons, TimePoint Now) {
+                                     TimePoint Now) const {
   const double Elapsed =
       std::chrono::duration<double>(Now - Rollout.Started).count();
   const double Length =
       std::chrono::duration<double>(Rollout.Order.Length).count();
-  if (Rollout.LocalOutcomes == 0 || Elapsed <= 0.0)
+  const auto Sent = static_cast<double>(Rollout.fleetSent().All);
+  if (Sent <= 0.0 || Elapsed <= 0.0)
     return MaxMovingFraction;
-  const double Requests =
-      static_cast<double>(Rollout.LocalOutcomes * Daemons) / Elapsed * Length;
-  return std::min(MinMovingFraction + MovingRequestAllowance / Requests,
-                  MaxMovingFraction);
+  const double Requests = Sent / Elapsed * Length;
+  const double Left = m_trialBounds.Share * UsableTrialShare * Requests +
+                      m_trialBounds.Requests * UsableTrialRequests -
+                      static_cast<double>(Rollout.fleetSent().New);
+  return std::clamp(Left * MovingPart / Requests, MinMovingFraction,
+                    MaxMovingFraction);
 }
 
 bool FleetRollouts::hasUrgentOutcomes() const {
@@ -121,6 +125,13 @@
                                 TimePoint Now) {
   Rollout.Stage = NewStage;
   Rollout.StageSince = Now;
+  if (NewStage != RolloutStage::Moving)
+    return;
+  Rollout.Judge.requireMoreProof();
+  Rollout.MovingTime =
+      timeAtFraction(Rollout, movingFraction(Rollout, Now)) - Rollout.Started;
+  // The canary has spent its own part only.
+  Rollout.TrialSpent = false;
 }
 
 void FleetRollouts::recordResult(const std::string &Service,
@@ -145,7 +156,6 @@
   const auto Entry = m_rollouts.find(Service);
   if (Entry == m_rollouts.end() || rankOf(Entry->second.Stage) > 1)
     return;
-  ++Entry->second.LocalOutcomes;
   addSample(Entry->second, Service, Version, std::move(Sample));
 }
 
@@ -157,6 +167,22 @@
     addSample(Entry->second, Service, Version, std::move(Sample));
 }
 
+void FleetRollouts::recordWait(const std::string &Service,
+                               const std::string &Version,
+                               policy::VersionSample Sample) {
+  Sample.WaitOnly = true;
+  recordPace(Service, Version, std::move(Sample));
+}
+
+std::optional<Duration>
+FleetRollouts::slowAfter(const std::string &Service,
+                         const policy::RouteName &Route) const {
+  const auto Entry = m_rollouts.find(Service);
+  if (Entry == m_rollouts.end() || rankOf(Entry->second.Stage) > 1)
+    return std::nullopt;
+  return Entry->second.Judge.slowTime(Route);
+}
+
 void FleetRollouts::addSample(RolloutState &Rollout, const std::string &Service,
                               const std::string &Version,
                               policy::VersionSample Sample) {
@@ -186,7 +212,8 @@
                    .Stage = Rollout.Stage,
                    .Elapsed = std::chrono::duration_cast<Milliseconds>(
                        Now - Rollout.Started),
-                   .Sent = Rollout.Sent});
+                   .Sent = Rollout.Sent,
+                   .Verdict = verdict(Rollout, Now)});
   return Out;
 }
 
@@ -206,6 +233,7 @@
       continue;
     Rollout.Started = std::min(Rollout.Started, Now - Status.Elapsed);
     Rollout.RemoteSent[Sender] = Status.Sent;
+    Rollout.RemoteVerdicts[Sender] = {Status.Verdict, Now};
     if (Rollout.ResultStored || rankOf(Status.Stage) <= rankOf(Rollout.Stage))
       continue;
     if (Status.Stage == RolloutStage::RolledBack)
@@ -229,31 +257,48 @@
 void FleetRollouts::addToJudge(RolloutState &Rollout,
                                const policy::VersionSample &Sample) {
   Rollout.Judge.add(Sample);
-  if (Sample.FromNewVersion && !Rollout.FirstNewOutcome)
+  if (Sample.FromNewVersion && !Sample.WaitOnly && !Rollout.FirstNewOutcome)
     Rollout.FirstNewOutcome = Sample.CompletedAt;
 }
 
-std::string FleetRollouts::missingTrial(const RolloutState &Rollout,
-                                        TimePoint Now) {
+std::string FleetRollouts::unproven(const RolloutState &Rollout,
+                                    TimePoint Now) {
   const policy::VersionJudge &Judge = Rollout.Judge;
   if (Judge.starved(routing::CanaryShare))
     return "too few streams, " + std::to_string(Judge.comparedPaces()) +
            " compared";
-  const std::uint64_t New = Judge.newOutcomes().All;
-  const double Expected =
-      routing::CanaryShare * static_cast<double>(New + Judge.oldOutcomes().All);
-  if (Expected >= MinExpectedOutcomes &&
-      static_cast<double>(New) < MinTrialOutcomes * Expected)
-    return "too few outcomes, " + std::to_string(New);
-  const TimePoint Since = Expected >= MinExpectedOutcomes
-                              ? Rollout.FirstNewOutcome.value_or(Now)
-                              : Rollout.Known;
-  if (Now <
-      Since + (timeAtFraction(Rollout, MinTrialFraction) - Rollout.Started))
+  if (const auto Doubt = Judge.doubt())
+    return "not shown to be good: " + policy::toString(*Doubt);
+  if (Now < Rollout.FirstNewOutcome.value_or(Now) +
+                (timeAtFraction(Rollout, MinTrialFraction) - Rollout.Started))
     return "tried too short";
   return {};
 }
 
+TrialVerdict FleetRollouts::verdict(const RolloutState &Rollout,
+                                    TimePoint Now) {
+  if (unproven(Rollout, Now).empty())
+    return TrialVerdict::Proven;
+  return Rollout.Known > timeAtFraction(Rollout, MinTrialFraction)
+             ? TrialVerdict::Unknown
+             : TrialVerdict::Open;
+}
+
+double FleetRollouts::provenPart(const RolloutState &Rollout, TimePoint Now) {
+  std::size_t Proven = 0;
+  std::size_t Known = 0;
+  const auto Count = [&](TrialVerdict Verdict) {
+    Known += Verdict == TrialVerdict::Unknown ? 0 : 1;
+    Proven += Verdict == TrialVerdict::Proven ? 1 : 0;
+  };
+  Count(verdict(Rollout, Now));
+  for (const auto &[Boot, Remote] : Rollout.RemoteVerdicts)
+    if (Now - Remote.second <= VerdictAge)
+      Count(Remote.first);
+  return Known == 0 ? 0.0
+                    : static_cast<double>(Proven) / static_cast<double>(Known);
+}
+
 bool FleetRollouts::trialSpent(const RolloutState &Rollout,
                                const VersionReplicas &Usable,
                                TimePoint Now) const {
@@ -261,13 +306,45 @@
   // rather than none.
   if (Now >= Rollout.Started + Rollout.Order.Length)
     return Rollout.TrialSpent && Usable.Old > 0;
-  if (Rollout.TrialSpent && Rollout.Stage == RolloutStage::Moving)
+  const bool Moving = Rollout.Stage == RolloutStage::Moving;
+  if (Rollout.TrialSpent && Moving)
     return true;
+  const bool Beside = !Moving && Usable.Old > 0;
   const VersionRequests Sent = Rollout.fleetSent();
   return static_cast<double>(Sent.New) >=
-         m_trialBounds.Share * UsableTrialShare *
+         m_trialBounds.Share * (Beside ? CanaryTrialShare : UsableTrialShare) *
                  static_cast<double>(Sent.All) +
-             m_trialBounds.Requests * UsableTrialRequests;
+             m_trialBounds.Requests *
+                 (Beside ? CanaryTrialRequests : UsableTrialRequests);
+}
+
+bool FleetRollouts::updateShares(RolloutState &Rollout, TimePoint Now) const {
+  const auto &Outcomes = Rollout.Judge.routeOutcomes();
+  const Duration Elapsed = Now - Rollout.Known;
+  if (Elapsed < RateTime || Outcomes.empty())
+    return false;
+  const double EarlyPart =
+      std::chrono::duration<double>(Rollout.Order.Length).count() *
+      EarlyFraction / std::chrono::duration<double>(Elapsed).count();
+  const double Early =
+      std::max(EarlyOutcomes / static_cast<double>(Outcomes.size()),
+               MinEarlyOutcomesOfRoute);
+  double All = 0.0;
+  double New = 0.0;
+  for (const auto &[Name, Route] : Outcomes) {
+    const auto Seen = static_cast<double>(Route.All);
+    const double Share =
+        Rollout.Judge.doubtOn(Name)
+            ? std::min(routing::CanaryShare + Early / (Seen * EarlyPart),
+                       MaxCanaryShare)
+            : routing::CanaryShare;
+    Rollout.Routes.try_emplace(Name, RouteTrial{.Due = m_phase})
+        .first->second.Share = Share;
+    All += Seen;
+    New += Share * Seen;
+  }
+  const double Before = std::exchange(Rollout.CanaryShare, New / All);
+  return std::abs(Before - Rollout.CanaryShare) > routing::CanaryShare / 2;
 }
 
 FleetRollouts::VersionReplicas
@@ -282,9 +359,25 @@
   return Count;
 }
 
+double FleetRollouts::requiredPart(const RolloutState &Rollout, TimePoint Now) {
+  return Now < timeAtFraction(Rollout, Rollout.Stage == RolloutStage::Canary
+                                           ? MajorityFraction
+                                           : UnprovenRollbackFraction)
+             ? 1.0
+             : ProvenMajority;
+}
+
+double FleetRollouts::rollbackFraction(const RolloutState &Rollout,
+                                       TimePoint Now) {
+  return Rollout.Stage == RolloutStage::Moving ||
+                 verdict(Rollout, Now) == TrialVerdict::Unknown
+             ? LateRollbackFraction
+             : UnprovenRollbackFraction;
+}
+
 bool FleetRollouts::advance(RolloutState &Rollout,
                             const routing::ReplicaTable &Replicas,
-                            std::size_t Daemons, TimePoint Now) {
+                            TimePoint Now) {
   if (const auto &Finding = Rollout.Judge.finding()) {
     rollBack(Rollout,
              std::string(toString(Finding->Signal)) + " on " + Finding->Route +
@@ -295,13 +388,14 @@
   const VersionReplicas Usable = countReplicas(Rollout, Replicas);
   const bool Spent = trialSpent(Rollout, Usable, Now);
   const bool SpentChanged = std::exchange(Rollout.TrialSpent, Spent) != Spent;
+  const bool Canary = Rollout.Stage == RolloutStage::Canary;
+  const bool Changed = (Canary && updateShares(Rollout, Now)) || SpentChanged;
   const TimePoint TrialEnd =
-      Rollout.Stage == RolloutStage::Moving
-          ? completionTime(Rollout)
-          : timeAtFraction(Rollout, CompletionFraction -
-                                        movingFraction(Rollout, Daemons, Now));
+      Canary ? timeAtFraction(Rollout,
+                              CompletionFraction - movingFraction(Rollout, Now))
+             : completionTime(Rollout);
   if (Now < TrialEnd)
-    return SpentChanged;
+    return Changed;
   // What is not certainly bad may be tried, but must not be kept.
   if (const auto Suspicion = Rollout.Judge.suspicion()) {
     rollBack(Rollout, std::string(toString(*Suspicion)) + " suspected", Now);
@@ -311,25 +405,30 @@
       Usable.New > 0 &&
       static_cast<double>(Usable.New) >=
           MinNewReplicaRatio * static_cast<double>(Usable.Old);
-  if (Rollout.Stage == RolloutStage::Moving || !EnoughReplicas)
-    return SpentChanged;
-  const std::string Missing = missingTrial(Rollout, Now);
-  if (Missing.empty()) {
+  if (Canary && !EnoughReplicas)
+    return Changed;
+  const double Proven = provenPart(Rollout, Now);
+  if (Proven >= requiredPart(Rollout, Now)) {
+    if (!Canary)
+      return Changed;
     changeStage(Rollout, RolloutStage::Moving, Now);
     return true;
   }
-  if (Now < timeAtFraction(Rollout, UntriedRollbackFraction))
-    return SpentChanged;
-  rollBack(Rollout, Missing, Now);
+  // Without an old replica there is nothing to roll back to.
+  if (Usable.Old == 0 ||
+      Now < timeAtFraction(Rollout, rollbackFraction(Rollout, Now)))
+    return Changed;
+  const std::string Open = unproven(Rollout, Now);
+  rollBack(Rollout,
+           Open.empty() ? "not shown to be good to most daemons" : Open, Now);
   return true;
 }
 
-bool FleetRollouts::tick(const routing::ReplicaTable &Replicas,
-                         std::size_t Daemons, TimePoint Now) {
+bool FleetRollouts::tick(const routing::ReplicaTable &Replicas, TimePoint Now) {
   bool Changed = false;
   for (auto &[Service, Rollout] : m_rollouts)
     if (rankOf(Rollout.Stage) <= 1)
-      Changed = advance(Rollout, Replicas, Daemons, Now) || Changed;
+      Changed = advance(Rollout, Replicas, Now) || Changed;
   return Changed;
 }
 
@@ -337,7 +436,7 @@
 FleetRollouts::select(const std::string &Service,
                       const std::vector<Replica *> &Usable) const {
   for (Replica *Candidate : Usable)
-    Candidate->Canary = false;
+    Candidate->CanaryShare = 0.0;
   const auto Entry = m_rollouts.find(Service);
   if (Entry == m_rollouts.end())
     return Usable;
@@ -369,37 +468,40 @@
   if (Old.empty() || New.empty())
     return Usable;
   const auto Canaries = static_cast<std::size_t>(
-      std::ceil(routing::CanaryShare * static_cast<double>(New.size())));
+      std::ceil(Rollout.CanaryShare * static_cast<double>(New.size())));
   std::sort(New.begin(), New.end(), [](const Replica *A, const Replica *B) {
     return hashText(A->Record.Id) < hashText(B->Record.Id);
   });
   for (std::size_t I = 0; I < Canaries; ++I) {
-    New[I]->Canary = true;
+    New[I]->CanaryShare = Rollout.CanaryShare;
     Old.push_back(New[I]);
   }
   return Old;
 }
 
-std::vector<Replica *>
-FleetRollouts::selectForRequest(const std::string &Service,
-                                const std::vector<Replica *> &Usable,
-                                bool Repeated) const {
+std::vector<Replica *> FleetRollouts::selectForRequest(
+    const std::string &Service, const policy::RouteName &Route,
+    const std::vector<Replica *> &Usable, bool Repeated) {
   std::vector<Replica *> Out = select(Service, Usable);
   const auto Entry = m_rollouts.find(Service);
   if (Entry == m_rollouts.end() || Entry->second.Stage != RolloutStage::Canary)
     return Out;
-  const RolloutState &Rollout = Entry->second;
-  const bool UseCanary =
-      !Repeated &&
-      static_cast<double>(Rollout.Sent.New + 1) <=
-          routing::CanaryShare * static_cast<double>(Rollout.Sent.All + 1);
-  const bool HasCanary =
-      std::any_of(Out.begin(), Out.end(),
-                  [](const Replica *Candidate) { return Candidate->Canary; });
-  if (HasCanary)
-    std::erase_if(Out, [&](const Replica *Candidate) {
-      return Candidate->Canary != UseCanary;
-    });
+  const bool HasCanary = std::ranges::any_of(
+      Out, [](const Replica *Candidate) { return Candidate->CanaryShare > 0; });
+  if (!HasCanary)
+    return Out;
+  bool UseCanary = false;
+  if (!Repeated) {
+    RouteTrial &Trial =
+        Entry->second.Routes.try_emplace(Route, RouteTrial{.Due = m_phase})
+            .first->second;
+    Trial.Due += Trial.Share;
+    UseCanary = static_cast<double>(Trial.New + 1) <= Trial.Due + DueRounding;
+    Trial.New += UseCanary ? 1U : 0U;
+  }
+  std::erase_if(Out, [&](const Replica *Candidate) {
+    return (Candidate->CanaryShare > 0) != UseCanary;
+  });
   return Out;
 }
 
@@ -435,11 +537,15 @@
                 .Sent = Rollout.fleetSent(),
                 .New = Rollout.Judge.newOutcomes(),
                 .Old = Rollout.Judge.oldOutcomes(),
-                .Evidence = Rollout.Judge.evidence()};
+                .Evidence = Rollout.Judge.evidence(),
+                .Doubt = Rollout.Judge.doubt(),
+                .CanaryShare = Rollout.CanaryShare};
     const TimePoint Done = completionTime(Rollout);
     if (Rollout.Stage == RolloutStage::Moving) {
       const bool Complete =
-          Now >= Done && !Rollout.Judge.finding() && !Rollout.Judge.suspicion();
+          Now >= Done && !Rollout.Judge.finding() &&
+          !Rollout.Judge.suspicion() &&
+          provenPart(Rollout, Now) >= requiredPart(Rollout, Now);
       Next.Stage = Complete ? RolloutStage::Completed : RolloutStage::Canary;
       Next.Since = Complete ? Done : Rollout.Started;
     }
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -125,6 +125,7 @@
                   "can't listen on " + toString(*Address));
   m_placement.setOptions(m_settings.Dispatch);
   m_state.Rollouts.setTrialBounds(m_settings.Bounds.Trial);
+  m_state.Rollouts.setPhase(uniform(m_random));
   m_beacon.setSeeds(m_settings.Seeds);
   if (!m_beacon.start() || !m_placement.start())
     return fail(ErrorKind::InvalidSettings,
@@ -407,6 +408,8 @@
                 {"old_outcomes", std::to_string(Report.Old.All)},
                 {"old_failed", std::to_string(Report.Old.Failed)},
                 {"evidence", std::to_string(Report.Evidence)},
+                {"open", Report.Doubt ? policy::toString(*Report.Doubt) : "no"},
+                {"canary_share", std::to_string(Report.CanaryShare)},
                 {"reason", Report.Reason}});
   replicasChanged();
   m_beacon.sendNow();
@@ -445,7 +448,7 @@
     logLoad(Now);
   if (m_state.Freshness.tick(Now))
     m_log.line(LogClass::Fault, "daemon.stalled", {});
-  if (m_state.Rollouts.tick(m_state.Replicas, daemons(), Now))
+  if (m_state.Rollouts.tick(m_state.Replicas, Now))
     rolloutsChanged();
   if (m_state.Rollouts.hasUrgentOutcomes() &&
       Now - m_lastOutcomeBroadcast >= FleetRollouts::MovingHeartbeatInterval) {
--- a/src/nutmegdrift/lab/lab_test.cpp
+++ b/src/nutmegdrift/lab/lab_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the emulated engine, scenarios, runs and reports.
 #include "nutmegdrift/lab/experiment.h"
+#include "nutmegdrift/lab/rollout_trial.h"
 
 #include <gtest/gtest.h>
 
@@ -165,5 +166,52 @@
   EXPECT_EQ(Svg.substr(Svg.size() - 7), "</svg>\n");
 }
 
+/// Plays all scenarios whose name contains Text.
+TrialSummary playMatching(const std::vector<TrialScenario> &Scenarios,
+                          const std::string &Text) {
+  constexpr std::size_t Plays = 10;
+  TrialSummary Sum;
+  for (const TrialScenario &Scenario : Scenarios) {
+    if (Scenario.Name.find(Text) == std::string::npos)
+      continue;
+    const TrialSummary Played = playTrials(Scenario, Plays, 1);
+    Sum.Plays += Played.Plays;
+    Sum.Completed += Played.Completed;
+    Sum.OverShare += Played.OverShare;
+  }
+  return Sum;
+}
+
+/// The error rates of a sequential test with the bounds 1/20 and 20.
+constexpr double MaxErrors = 0.05;
+
+// The verdict on a version was open when its trial ended, and it was completed:
+// by the luck of ten outcomes, beside limits and callers who leave.
+TEST(RolloutTrials, BadVersionsAreNotCompletedWithAnOpenVerdict) {
+  for (const char *Fault : {"fails 0.4, ", "slow 0.5 x5, ", "slow 0.4 x8, ",
+                            "fails 0.5 after 8 s, ", "fails 0.5 on lookup, ",
+                            "slow 0.6 x6 on lookup, "}) {
+    const TrialSummary Sum = playMatching(badVersionTrials(), Fault);
+    EXPECT_LE(static_cast<double>(Sum.Completed),
+              MaxErrors * static_cast<double>(Sum.Plays))
+        << Fault;
+    EXPECT_LE(Sum.OverShare, Sum.Completed) << Fault;
+  }
+}
+
+// The other side: a good version must be completed in time.
+TEST(RolloutTrials, GoodVersionsAreCompleted) {
+  for (const char *Load :
+       {"good, 10/s", "good, 30/s", "good, 100/s", "good, 1000/s"}) {
+    const auto Scenarios = goodVersionTrials();
+    const auto Exact = std::ranges::find(Scenarios, Load, &TrialScenario::Name);
+    ASSERT_NE(Exact, Scenarios.end());
+    const TrialSummary Sum = playTrials(*Exact, 20, 1);
+    EXPECT_GE(static_cast<double>(Sum.Completed),
+              (1.0 - MaxErrors) * static_cast<double>(Sum.Plays))
+        << Load;
+  }
+}
+
 } // namespace
 } // namespace nutmegdrift::lab
--- a/src/nutmegdrift/lab/nutmeglab.cpp
+++ b/src/nutmegdrift/lab/nutmeglab.cpp
@@ -1,5 +1,6 @@
 // Command line of the emulator.
 #include "nutmegdrift/lab/experiment.h"
+#include "nutmegdrift/lab/rollout_trial.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -21,8 +22,11 @@
   Spec.add_options()("scenario", "YAML file with load, engines and policies",
                      cxxopts::value<std::string>(),
                      "FILE")("plot", "write worth over load as an SVG file",
-                             cxxopts::value<std::string>(), "FILE")(
-      "check", "check the scenario and exit")("help", "print this text");
+                             cxxopts::value<std::string>(),
+                             "FILE")("check", "check the scenario and exit")(
+      "rollouts", "play good and bad versions this many times each",
+      cxxopts::value<std::size_t>()->default_value("0"),
+      "N")("help", "print this text");
   Spec.parse_positional({"scenario"});
   return Spec;
 }
@@ -34,6 +38,12 @@
     std::cout << Spec.help();
     return EXIT_SUCCESS;
   }
+  if (const auto Plays = Args["rollouts"].as<std::size_t>(); Plays > 0) {
+    constexpr std::uint64_t FirstSeed = 1;
+    lab::printTrials(lab::goodVersionTrials(), Plays, FirstSeed, std::cout);
+    lab::printTrials(lab::badVersionTrials(), Plays, FirstSeed, std::cout);
+    return EXIT_SUCCESS;
+  }
   if (Args.count("scenario") == 0) {
     std::cerr << "nutmeglab: no scenario is given\n" << Spec.help();
     return ExitUsage;
--- a/src/nutmegdrift/policy/version_judge.cpp
+++ b/src/nutmegdrift/policy/version_judge.cpp
@@ -58,6 +58,16 @@
   return Count + 1.0 + 2.0 * std::sqrt(Count + 1.0);
 }
 
+/// Shares of an event at a version whose share is Good, and at one that is
+/// worse. Where most outcomes are such events, little room is left between.
+EventShares sharesFrom(double Good) {
+  const double Limited =
+      std::min(VersionJudge::GoodExcess + Good, VersionJudge::MaxGoodShare);
+  return {.Good = Limited,
+          .Bad = std::min(Limited + VersionJudge::BadExcess,
+                          (1.0 + Limited) / 2.0)};
+}
+
 void storeUnpaired(std::deque<VersionSample> &Unpaired,
                    const VersionSample &Sample) {
   Unpaired.push_back(Sample);
@@ -65,17 +75,25 @@
     Unpaired.pop_front();
 }
 
-void dropBefore(std::deque<VersionSample> &Samples, TimePoint Oldest) {
-  while (!Samples.empty() && Samples.front().CompletedAt < Oldest)
+/// Drops samples from before Oldest, but keeps the last ones whatever their
+/// age: while all requests go to the new version, they are all that it can be
+/// compared with.
+void dropBefore(std::deque<VersionSample> &Samples, TimePoint Oldest,
+                std::size_t Kept) {
+  while (Samples.size() > Kept && Samples.front().CompletedAt < Oldest)
     Samples.pop_front();
 }
 
-Duration median(const std::deque<VersionSample> &Samples,
-                Duration VersionSample::*Time) {
+/// The median of the samples whose time is known; nothing if none is.
+std::optional<Duration> median(const std::deque<VersionSample> &Samples,
+                               Duration VersionSample::*Time) {
   std::vector<Duration> Times;
   Times.reserve(Samples.size());
   for (const VersionSample &Each : Samples)
-    Times.push_back(Each.*Time);
+    if (!Each.WaitOnly)
+      Times.push_back(Each.*Time);
+  if (Times.empty())
+    return std::nullopt;
   const auto Middle =
       Times.begin() + static_cast<std::ptrdiff_t>(Times.size() / 2);
   std::nth_element(Times.begin(), Middle, Times.end());
@@ -94,6 +112,13 @@
   return Partner;
 }
 
+/// The first token after which an answer is slow.
+Duration slowFirstToken(Duration Median) {
+  const auto Factored = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Median) * VersionJudge::FirstTokenFactor);
+  return std::max(Factored, Median + VersionJudge::MinFirstTokenDifference);
+}
+
 bool lacksEvidence(const RouteJudgement &Route) {
   return std::ranges::all_of(Route.Tests, [](const auto &Test) {
     return SequentialTest(Test).wealth() <= VersionJudge::MaxGoodWealth;
@@ -108,6 +133,12 @@
   return Names.at(static_cast<std::size_t>(Signal));
 }
 
+std::string toString(const VersionDoubt &Doubt) {
+  return std::string(toString(Doubt.Signal)) +
+         (Doubt.Route.empty() ? "" : " on " + Doubt.Route) + " after " +
+         std::to_string(Doubt.Compared) + " samples";
+}
+
 void SequentialTest::add(bool Worse) {
   const double Invested =
       uninvestedShare(m_state.Count) - uninvestedShare(m_state.Count + 1);
@@ -146,84 +177,167 @@
 }
 
 void VersionJudge::comparePaces(RouteState &Route, TimePoint Now) {
-  dropBefore(Route.Old, Now - PairWindow);
+  dropBefore(Route.Old, Now - PairWindow, MinOldPaces);
   if (Route.New.empty() || Route.Old.size() < MinOldPaces)
     return;
-  const Duration Middle = median(Route.Old, &VersionSample::TokenGap);
+  const Duration Middle =
+      median(Route.Old, &VersionSample::TokenGap).value_or(Duration{0});
+  constexpr EventShares Shares{.Good = GoodSlowShare, .Bad = BadSlowShare};
   for (const VersionSample &New : std::exchange(Route.New, {})) {
     const bool Slow = static_cast<double>(New.TokenGap.count()) >
                       PaceFactor * static_cast<double>(Middle.count());
-    addRatio(New.Route, VersionSignal::TokenGap, Slow, GoodSlowShare,
-             BadSlowShare, ++m_comparedPaces);
+    ++m_comparedPaces;
+    addEvent(New.Route, VersionSignal::TokenGap, Slow, Shares, Shares);
   }
 }
 
 void VersionJudge::addFirstToken(const VersionSample &Sample) {
-  if (Sample.Failed || Sample.Cold || Sample.FirstToken.count() <= 0)
+  if (Sample.Failed || Sample.Cold || Sample.WaitReported ||
+      Sample.FirstToken.count() <= 0)
     return;
+  m_oldFirstTokens += Sample.FromNewVersion ? 0 : 1;
   RouteState &Route = m_firstTokenSamples[Sample.Route];
   storeUnpaired(Sample.FromNewVersion ? Route.New : Route.Old, Sample);
   compareFirstTokens(Route, Sample.CompletedAt);
 }
 
 void VersionJudge::compareFirstTokens(RouteState &Route, TimePoint Now) {
-  dropBefore(Route.Old, Now - PairWindow);
-  if (Route.New.empty() || Route.Old.size() < MinOldOutcomes)
+  dropBefore(Route.Old, Now - FailureWindow, MinOldFirstTokens);
+  const auto Middle = median(Route.Old, &VersionSample::FirstToken);
+  if (Route.New.empty() || Route.Old.size() < MinBaseline || !Middle)
     return;
-  const Duration Middle = median(Route.Old, &VersionSample::FirstToken);
-  const auto Slow = [Middle](const VersionSample &Sample) {
-    return static_cast<double>(Sample.FirstToken.count()) >
-               FirstTokenFactor * static_cast<double>(Middle.count()) &&
-           Sample.FirstToken - Middle >= MinFirstTokenDifference;
+  const Duration SlowTime = slowFirstToken(*Middle);
+  const auto Slow = [SlowTime](const VersionSample &Sample) {
+    return Sample.FirstToken >= SlowTime;
   };
-  const auto OldSlow = static_cast<std::size_t>(
-      std::count_if(Route.Old.begin(), Route.Old.end(), Slow));
+  // A caller who left before the answer was slow tells nothing.
+  const auto Known = [&](const VersionSample &Sample) {
+    return !Sample.WaitOnly || Slow(Sample);
+  };
+  const Baseline Old{
+      .Events = static_cast<std::size_t>(
+          std::count_if(Route.Old.begin(), Route.Old.end(), Slow)),
+      .All = static_cast<std::size_t>(
+          std::count_if(Route.Old.begin(), Route.Old.end(), Known)),
+      .Recent = Now - Route.Old.back().CompletedAt <= PairWindow};
   for (const VersionSample &New : std::exchange(Route.New, {}))
-    addRatioToOld(New.Route, VersionSignal::FirstToken, Slow(New), OldSlow,
-                  Route.Old.size(), ++m_comparedFirstTokens);
+    if (Known(New))
+      addEvent(New.Route, VersionSignal::FirstToken, Slow(New), Old);
+}
+
+std::optional<Duration> VersionJudge::slowTime(const RouteName &Route) const {
+  const auto Entry = m_firstTokenSamples.find(Route);
+  if (Entry == m_firstTokenSamples.end() ||
+      Entry->second.Old.size() < MinBaseline)
+    return std::nullopt;
+  const auto Middle = median(Entry->second.Old, &VersionSample::FirstToken);
+  return Middle ? std::optional(slowFirstToken(*Middle)) : std::nullopt;
 }
 
 void VersionJudge::countFailure(const VersionSample &Sample) {
-  while (!m_oldInWindow.empty() &&
-         Sample.CompletedAt - m_oldInWindow.front().first > FailureWindow)
-    m_oldInWindow.pop_front();
+  auto &Old = m_oldFailures[Sample.Route];
+  while (Old.size() > MinOldOutcomes &&
+         Sample.CompletedAt - Old.front().first > FailureWindow)
+    Old.pop_front();
   if (!Sample.FromNewVersion) {
-    m_oldInWindow.emplace_back(Sample.CompletedAt, Sample.Failed);
+    Old.emplace_back(Sample.CompletedAt, Sample.Failed);
     return;
   }
-  if (m_oldInWindow.size() < MinOldOutcomes)
+  if (Old.empty())
     return;
-  const auto Failed = static_cast<std::size_t>(
-      std::count_if(m_oldInWindow.begin(), m_oldInWindow.end(),
-                    [](const auto &Old) { return Old.second; }));
-  addRatioToOld(Sample.Route, VersionSignal::Errors, Sample.Failed, Failed,
-                m_oldInWindow.size(), m_newOutcomes.All);
-}
-
-void VersionJudge::addRatioToOld(const RouteName &Route, VersionSignal Signal,
-                                 bool Event, std::size_t OldEvents,
-                                 std::size_t OldAll, std::uint64_t Compared) {
-  const double Good = GoodExcess + upperBound(static_cast<double>(OldEvents)) /
-                                       static_cast<double>(OldAll);
-  const double Bad = Good + BadExcess;
-  // Where most outcomes of the old version are such events, no difference
-  // shows.
-  if (Bad < 1.0)
-    addRatio(Route, Signal, Event, Good, Bad, Compared);
-}
-
-void VersionJudge::addRatio(const RouteName &Route, VersionSignal Signal,
-                            bool Event, double Good, double Bad,
-                            std::uint64_t Compared) {
-  LikelihoodRatio &Ratio = m_ratios.at(static_cast<std::size_t>(Signal));
-  Ratio.add(Event, Good, Bad);
-  if (!m_finding && Ratio.value() >= BadRatio)
-    m_finding = {Route, Signal, Compared};
+  addEvent(Sample.Route, VersionSignal::Errors, Sample.Failed,
+           {.Events = static_cast<std::size_t>(
+                std::count_if(Old.begin(), Old.end(),
+                              [](const auto &Each) { return Each.second; })),
+            .All = Old.size(),
+            .Recent = Sample.CompletedAt - Old.back().first <= PairWindow});
+}
+
+void VersionJudge::addEvent(const RouteName &Route, VersionSignal Signal,
+                            bool Event, const Baseline &Old) {
+  if (Old.All < MinBaseline)
+    return;
+  const auto Events = static_cast<double>(Old.Events);
+  const auto All = static_cast<double>(Old.All);
+  std::optional<EventShares> Against;
+  if (Old.Recent)
+    Against = sharesFrom(upperBound(Events) / All);
+  addEvent(Route, Signal, Event, Against,
+           sharesFrom((Events + 0.5) / (All + 1.0)));
+}
+
+void VersionJudge::addEvent(const RouteName &Route, VersionSignal Signal,
+                            bool Event,
+                            const std::optional<EventShares> &Against,
+                            const EventShares &Remaining) {
+  const auto Index = static_cast<std::size_t>(Signal);
+  SignalRatios &All = m_ratios.at(Index);
+  SignalRatios &OfRoute = m_routeRatios[Route].at(Index);
+  for (SignalRatios *Ratios : {&All, &OfRoute}) {
+    ++Ratios->Compared;
+    Ratios->Remaining.add(Event, Remaining);
+    if (Against)
+      Ratios->Against.add(Event, *Against);
+  }
+  if (!m_finding && (All.Against.value() >= BadRatio ||
+                     OfRoute.Against.value() >= BadRouteRatio))
+    m_finding = {Route, Signal, All.Compared};
+}
+
+bool VersionJudge::applies(VersionSignal Signal) const {
+  switch (Signal) {
+  case VersionSignal::Errors:
+    return true;
+  case VersionSignal::FirstToken:
+    return m_oldFirstTokens >= MinFirstTokensToProve;
+  case VersionSignal::TokenGap:
+    return m_oldStreams >= MinStreamsToProve;
+  }
+  return true;
+}
+
+void VersionJudge::requireMoreProof() {
+  for (SignalRatios &Ratios : m_ratios)
+    Ratios.Remaining.raiseTo(ReproofRatio);
+}
+
+std::optional<VersionDoubt> VersionJudge::doubt() const {
+  for (std::size_t I = 0; I < VersionSignalCount; ++I)
+    if (applies(static_cast<VersionSignal>(I)) &&
+        m_ratios.at(I).Remaining.value() > ProvenRatio)
+      return VersionDoubt{
+          {}, static_cast<VersionSignal>(I), m_ratios.at(I).Compared};
+  for (const auto &[Route, Outcomes] : m_routeOutcomes)
+    if (const std::uint64_t Old = Outcomes.All - Outcomes.New;
+        Old >= MinRouteOutcomes)
+      if (auto Doubt = doubtOn(
+              Route, Old >= ProvableRouteOutcomes ? ProvenRouteRatio : 1.0))
+        return Doubt;
+  return std::nullopt;
+}
+
+std::optional<VersionDoubt> VersionJudge::doubtOn(const RouteName &Route,
+                                                  double Ratio) const {
+  const auto Entry = m_routeRatios.find(Route);
+  const Ratios Known = Entry == m_routeRatios.end() ? Ratios() : Entry->second;
+  const auto IsOpen = [&](VersionSignal Signal) {
+    return Known.at(static_cast<std::size_t>(Signal)).Remaining.value() > Ratio;
+  };
+  const auto DoubtAbout = [&](VersionSignal Signal) {
+    return VersionDoubt{Route, Signal,
+                        Known.at(static_cast<std::size_t>(Signal)).Compared};
+  };
+  if (IsOpen(VersionSignal::Errors))
+    return DoubtAbout(VersionSignal::Errors);
+  if (slowTime(Route) && IsOpen(VersionSignal::FirstToken))
+    return DoubtAbout(VersionSignal::FirstToken);
+  // Few streams have a pace, so all routes are tested together.
+  return std::nullopt;
 }
 
 std::optional<VersionSignal> VersionJudge::suspicion() const {
   for (std::size_t I = 0; I < m_ratios.size(); ++I)
-    if (m_ratios.at(I).value() >= SuspectRatio ||
+    if (m_ratios.at(I).Against.value() >= SuspectRatio ||
         std::ranges::any_of(m_routes, [&](const auto &Entry) {
           return SequentialTest(Entry.second.Saved.Tests.at(I)).wealth() >=
                  SuspectWealth;
@@ -240,8 +354,8 @@
 
 double VersionJudge::evidence() const {
   double Most = 1.0;
-  for (const LikelihoodRatio &Ratio : m_ratios)
-    Most = std::max(Most, Ratio.value());
+  for (const SignalRatios &Ratios : m_ratios)
+    Most = std::max(Most, Ratios.Against.value());
   for (const auto &[Name, Route] : m_routes)
     for (const auto &Test : Route.Saved.Tests)
       Most = std::max(Most, SequentialTest(Test).wealth());
@@ -253,9 +367,16 @@
     addPace(Sample);
     return;
   }
+  if (Sample.WaitOnly) {
+    addFirstToken(Sample);
+    return;
+  }
   OutcomeCounts &Counts = Sample.FromNewVersion ? m_newOutcomes : m_oldOutcomes;
   ++Counts.All;
   Counts.Failed += Sample.Failed ? 1U : 0U;
+  RouteOutcomes &OfRoute = m_routeOutcomes[Sample.Route];
+  ++OfRoute.All;
+  OfRoute.New += Sample.FromNewVersion ? 1U : 0U;
   auto &Route = routeState(Sample.Route);
   countFailure(Sample);
   addFirstToken(Sample);
--- a/src/nutmegdrift/policy/version_pace_test.cpp
+++ b/src/nutmegdrift/policy/version_pace_test.cpp
@@ -114,6 +114,121 @@
   EXPECT_FALSE(Judge.suspicion());
 }
 
+VersionSample answerOn(const RouteName &Route, bool New, bool Failed,
+                       TimePoint At) {
+  VersionSample Out = answer(New, Failed, 10ms, At);
+  Out.Route = Route;
+  return Out;
+}
+
+// Too few answers to find a fault are too few to rule it out.
+TEST(VersionDoubt, AVersionWithFewGoodAnswersIsNotShownToBeGood) {
+  VersionJudge Judge;
+  for (int I = 0; I < 60; ++I)
+    Judge.add(answer(false, false, 10ms, Start + I * 25ms));
+  EXPECT_TRUE(Judge.doubt());
+  for (int I = 0; I < 4; ++I)
+    Judge.add(answer(true, false, 10ms, Start + 1600ms + I * 25ms));
+  EXPECT_TRUE(Judge.doubt());
+  for (int I = 0; I < 20; ++I)
+    Judge.add(answer(true, false, 10ms, Start + 1700ms + I * 25ms));
+  EXPECT_FALSE(Judge.doubt());
+}
+
+// A good beginning hid a fault that came later.
+TEST(VersionDoubt, AFaultThatBeginsLaterRaisesTheDoubtAgain) {
+  VersionJudge Judge;
+  TimePoint Now = Start;
+  const auto Play = [&](int Count, bool Faulty) {
+    for (int I = 0; I < Count; ++I, Now += 25ms) {
+      Judge.add(answer(false, false, 10ms, Now));
+      Judge.add(answer(true, Faulty && I % 2 == 0, 10ms, Now));
+    }
+  };
+  Play(400, false);
+  EXPECT_FALSE(Judge.doubt());
+  Play(8, true);
+  EXPECT_TRUE(Judge.doubt());
+}
+
+// The good answers of the other routes hid a route that fails.
+TEST(VersionDoubt, AVersionThatFailsOnOneRouteIsNotShownToBeGood) {
+  VersionJudge Judge;
+  for (int I = 0; I < 400; ++I) {
+    const TimePoint Now = Start + I * 10ms;
+    Judge.add(answerOn("busy", false, false, Now));
+    if (I % 4 == 0)
+      Judge.add(answerOn("busy", true, false, Now));
+    if (I % 10 == 0)
+      Judge.add(answerOn("rare", false, false, Now));
+    if (I % 40 == 0)
+      Judge.add(answerOn("rare", true, I % 80 == 0, Now));
+  }
+  ASSERT_TRUE(Judge.doubt());
+  EXPECT_EQ(Judge.doubt()->Route, "rare");
+  EXPECT_EQ(Judge.doubt()->Signal, VersionSignal::Errors);
+}
+
+// An old version that fails half of its requests says little, but a new one
+// that fails as often must be shown to be no worse.
+TEST(VersionDoubt, AVersionAsBadAsTheOldOneIsShownToBeNoWorse) {
+  VersionJudge Judge;
+  for (int I = 0; I < 600; ++I) {
+    const TimePoint Now = Start + I * 10ms;
+    Judge.add(answer(false, I % 2 == 0, 10ms, Now));
+    if (I % 6 == 0)
+      Judge.add(answer(true, I % 12 == 0, 10ms, Now));
+  }
+  EXPECT_FALSE(Judge.finding());
+  EXPECT_FALSE(Judge.doubt());
+}
+
+// Callers left before the slow answers began, and only the fast ones counted.
+TEST(VersionDoubt, AnswersThatCallersDidNotAwaitAreSlow) {
+  VersionJudge Judge;
+  for (int I = 0; I < 60 && !Judge.finding(); ++I) {
+    const TimePoint Now = Start + I * 50ms;
+    Judge.add(answer(false, false, 15ms, Now));
+    Judge.add(answer(false, false, 17ms, Now));
+    VersionSample Sample = answer(true, false, 15ms, Now);
+    if (I % 2 == 0) {
+      Sample.WaitOnly = true;
+      Sample.FirstToken = 60ms;
+    }
+    Judge.add(Sample);
+  }
+  ASSERT_TRUE(Judge.finding());
+  EXPECT_EQ(Judge.finding()->Signal, VersionSignal::FirstToken);
+}
+
+// Callers who leave at once say nothing of the version.
+TEST(VersionDoubt, AnswersThatCallersLeftEarlyAreNoSign) {
+  VersionJudge Judge;
+  for (int I = 0; I < 200; ++I) {
+    const TimePoint Now = Start + I * 25ms;
+    Judge.add(answer(false, false, 15ms, Now));
+    VersionSample Left = answer(true, false, 5ms, Now);
+    Left.WaitOnly = true;
+    Judge.add(Left);
+  }
+  EXPECT_FALSE(Judge.finding());
+  EXPECT_FALSE(Judge.suspicion());
+  EXPECT_TRUE(Judge.doubt());
+}
+
+// While all requests go to the new version, the last outcomes of the old one
+// are what it is compared with.
+TEST(VersionDoubt, AFaultIsFoundAfterTheOldVersionGotNoMoreRequests) {
+  VersionJudge Judge;
+  TimePoint Now = Start;
+  for (int I = 0; I < 200; ++I, Now += 25ms)
+    Judge.add(answer(false, false, 15ms, Now));
+  Now += 4s;
+  for (int I = 0; I < 40 && !Judge.finding(); ++I, Now += 25ms)
+    Judge.add(answer(true, I % 2 == 0, 15ms, Now));
+  EXPECT_TRUE(Judge.finding());
+}
+
 // Half of a slow version's answers are as fast as before, and it yields few of
 // them on any one route.
 TEST(VersionPace, AVersionWithSlowStreamsIsBadAfterFewOfThem) {
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -82,6 +82,9 @@
   return Request.Prompt.empty() ? 0 : Request.Prompt.back().Id;
 }
 
+/// Against the rounding of a sum of shares.
+constexpr double DueRounding = 1e-6;
+
 } // namespace
 
 ModelDispatcher::ModelDispatcher(DispatcherOptions Options, std::uint64_t Seed,
@@ -95,12 +98,16 @@
       Traits.Engine ? Traits.Engine->FetchPerThousand : Duration{0};
   for (auto &[Id, Tracked] : m_engines)
     Tracked.Usable = false;
-  const auto Canaries = static_cast<std::size_t>(
-      std::count_if(Usable.begin(), Usable.end(),
-                    [](const Replica *Listed) { return Listed->Canary; }));
-  if (m_canaries == 0)
-    m_placedSinceCanaries = m_placedOnCanaries = 0;
-  m_canaries = Canaries;
+  if (m_canaries == 0) {
+    m_dueOnCanaries = 0.0;
+    m_placedOnCanaries = 0;
+  }
+  m_canaries = 0;
+  for (const Replica *Listed : Usable)
+    if (Listed->CanaryShare > 0) {
+      ++m_canaries;
+      m_canaryShare = Listed->CanaryShare;
+    }
   double Rate = EngineEstimate::InitialRate;
   if (!m_engines.empty())
     Rate = m_engines.begin()->second.Estimate.tokensPerMs();
@@ -125,7 +132,7 @@
                            .StartMillis = Listed->Record.StartMillis})
               .first;
     Tracked->second.Usable = true;
-    Tracked->second.Canary = Listed->Canary;
+    Tracked->second.Canary = Listed->CanaryShare > 0;
     Tracked->second.ColdUntil = Listed->ColdUntil;
   }
   std::erase_if(m_engines, [this](const auto &Entry) {
@@ -177,9 +184,8 @@
 }
 
 bool ModelDispatcher::canaryIsNext() const {
-  return m_canaries > 0 &&
-         static_cast<double>(m_placedOnCanaries + 1) <=
-             CanaryShare * static_cast<double>(m_placedSinceCanaries + 1);
+  return m_canaries > 0 && static_cast<double>(m_placedOnCanaries + 1) <=
+                               m_dueOnCanaries + m_canaryShare + DueRounding;
 }
 
 bool ModelDispatcher::accepts(Engine &Candidate, const QueuedRequest &Queued,
@@ -662,7 +668,7 @@
       Holders.push_back(Choice.Destination);
   }
   ++m_totals.Placed;
-  m_placedSinceCanaries += m_canaries > 0 ? 1 : 0;
+  m_dueOnCanaries += m_canaries > 0 ? m_canaryShare : 0.0;
   m_placedOnCanaries += Choice.Destination->Canary ? 1 : 0;
   m_totals.TokensCached += Cached;
   m_totals.TokensFetched += Choice.Fetched;
--- a/src/nutmegdrift/routing/routing_test.cpp
+++ b/src/nutmegdrift/routing/routing_test.cpp
@@ -456,7 +456,7 @@
   // Guards against a bad version that gets most requests, because an idle
   // canary replica has the lowest cost for each of them.
   replicas(6);
-  Table.find("r0")->Canary = true;
+  Table.find("r0")->CanaryShare = CanaryShare;
   refresh();
   int Canary = 0;
   for (int I = 0; I < 400; ++I) {
