Keep the outcomes of a version whose order is written with another length

Cause: applyOrder() began anew for every changed order, so that requests, outcomes and the verdict were lost, and a bad version got a second allowance.

Change: while the version is tried, another length only begins the time anew.

Measured: AnOrderWithAnotherLengthKeepsWhatIsKnownOfTheVersion; on the code before, the order was replaced by an empty state (read, the test was not run there). Found by reading, not seen in a play.

Ruled out: keeping the evidence of an order that has ended; a second order then asks for a new trial.

--- a/include/nutmegdrift/gateway/fleet_rollouts.h
+++ b/include/nutmegdrift/gateway/fleet_rollouts.h
@@ -107,7 +107,8 @@
   /// phases the daemons of a small service send the meant share together.
   void setPhase(double Phase) { m_phase = Phase; }
   void setTrialBounds(const TrialBounds &Bounds) { m_trialBounds = Bounds; }
-  /// Starts a rollout, or restarts it if the order changed.
+  /// Starts a rollout. If only the length of an order changed, its time begins
+  /// anew and the outcomes so far count.
   void applyOrder(const RolloutOrder &Order, TimePoint Now);
   /// The operators withdrew the order.
   void withdraw(const std::string &Service);
--- a/src/nutmegdrift/gateway/fleet_rollouts.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts.cpp
@@ -100,8 +100,18 @@
 
 void FleetRollouts::applyOrder(const RolloutOrder &Order, TimePoint Now) {
   const auto Existing = m_rollouts.find(Order.Service);
-  if (Existing != m_rollouts.end() && Existing->second.Order == Order)
-    return;
+  if (Existing != m_rollouts.end()) {
+    RolloutState &Known = Existing->second;
+    if (Known.Order == Order)
+      return;
+    // What is known of the version holds for another length too.
+    if (Known.Order.Version == Order.Version && rankOf(Known.Stage) <= 1) {
+      Known.Order = Order;
+      Known.Started = Now;
+      changeStage(Known, RolloutStage::Canary, Now);
+      return;
+    }
+  }
   RolloutState Rollout{
       .Order = Order, .Started = Now, .Known = Now, .StageSince = Now};
   const auto Early = m_earlyStatuses.find(Order.Service);
--- a/src/nutmegdrift/gateway/fleet_rollouts_test.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts_test.cpp
@@ -378,5 +378,20 @@
   EXPECT_EQ(reportedStage(Now), RolloutStage::RolledBack);
 }
 
+// An order that is written again with another length is about the same version.
+TEST_F(Rollouts, AnOrderWithAnotherLengthKeepsWhatIsKnownOfTheVersion) {
+  TimePoint Now = Start;
+  for (; Now < Start + 2s; Now += 25ms) {
+    m_rollouts.recordOutcome("s", "v1", sample(false, Now));
+    send(m_rollouts, 1);
+  }
+  RolloutOrder Longer = m_order;
+  Longer.Length = 20s;
+  m_rollouts.applyOrder(Longer, Now);
+  EXPECT_EQ(m_rollouts.reports(Now).at(0).Old.All, 80U);
+  EXPECT_EQ(m_rollouts.reports(Now).at(0).Sent.All, 80U);
+  EXPECT_EQ(m_rollouts.reports(Now).at(0).Order, Longer);
+}
+
 } // namespace
 } // namespace nutmegdrift::gateway
