Send a request to the old version if the canary declines it

Cause: a request that was due for a canary was offered canaries only.

Change: the choice between the versions leaves out excluded replicas first.

Measured: RequestsDoNotWaitForACanaryThatDeclines.

Ruled out: the dispatcher, which passes to other replicas by itself.

--- a/include/nutmegdrift/gateway/fleet_rollouts.h
+++ b/include/nutmegdrift/gateway/fleet_rollouts.h
@@ -149,11 +149,12 @@
   [[nodiscard]] std::vector<routing::Replica *>
   select(const std::string &Service,
          const std::vector<routing::Replica *> &Usable) const;
-  /// The same for one request that needs no dispatcher. Retried requests go to
-  /// the old version.
+  /// The same for one request that needs no dispatcher, without the replicas in
+  /// Excluded. Retried requests go to the old version.
   [[nodiscard]] std::vector<routing::Replica *>
   selectForRequest(const std::string &Service, const policy::RouteName &Route,
-                   const std::vector<routing::Replica *> &Usable, bool Repeated);
+                   const std::vector<routing::Replica *> &Usable, bool Repeated,
+                   const std::set<routing::ReplicaId> &Excluded = {});
   /// Counts a request of this daemon.
   void recordSent(const routing::ReplicaRecord &Target);
   /// Whether a replica may get a request, whichever daemon chose it.
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -239,7 +239,7 @@
   const routing::Replica *Chosen = routing::pickLeastUsed(
       m_env.State.Rollouts.selectForRequest(
           m_service, m_route->Name, m_env.State.Replicas.usable(m_service),
-          m_attempts > 0),
+          m_attempts > 0, Limits.Tried),
       Limits, Now, m_env.Rng());
   if (Chosen) {
     send(Chosen->Record.Id);
--- a/src/nutmegdrift/gateway/fleet_rollouts.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts.cpp
@@ -491,8 +491,12 @@
 
 std::vector<Replica *> FleetRollouts::selectForRequest(
     const std::string &Service, const policy::RouteName &Route,
-    const std::vector<Replica *> &Usable, bool Repeated) {
+    const std::vector<Replica *> &Usable, bool Repeated,
+    const std::set<routing::ReplicaId> &Excluded) {
   std::vector<Replica *> Out = select(Service, Usable);
+  std::erase_if(Out, [&](const Replica *Candidate) {
+    return Excluded.contains(Candidate->Record.Id);
+  });
   const auto Entry = m_rollouts.find(Service);
   if (Entry == m_rollouts.end() || Entry->second.Stage != RolloutStage::Canary)
     return Out;
--- a/src/nutmegdrift/gateway/fleet_rollouts_test.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts_test.cpp
@@ -354,6 +354,19 @@
   EXPECT_LE(New["rare"] + New["busy"], 27 + 50);
 }
 
+// Requests that were meant for a canary waited for it, although the old
+// replicas were free.
+TEST_F(Rollouts, RequestsDoNotWaitForACanaryThatDeclines) {
+  std::set<routing::ReplicaId> Declining;
+  for (int I = 6; I < 12; ++I)
+    Declining.insert("r" + std::to_string(I));
+  for (int I = 0; I < 100; ++I)
+    EXPECT_FALSE(m_rollouts
+                     .selectForRequest("s", "r", m_replicas.usable("s"), false,
+                                       Declining)
+                     .empty());
+}
+
 // Of a fleet in which most daemons have no verdict, one must not complete the
 // version by its own.
 TEST_F(Rollouts, AVersionIsNotCompletedAgainstTheVerdictOfTheOthers) {
