Count a request that fails at each replica as one outcome of a rollout

Cause: a request that fails for a reason of its own fails at each replica. Each of its attempts was an outcome, so that three such requests looked like a dozen failures of the version that got all requests.

Change: only attempts of requests that have not failed before are outcomes.

Ruled out: a fault of the new version; its share on the route was as before until it got all requests.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -176,6 +176,7 @@
   net::Timer m_deadlineTimer;
   net::Timer m_responseTimer;
   net::Timer m_slowTimer;      ///< Until the answer is slow for its version.
+  bool m_failedBefore = false; ///< At a replica, in an earlier attempt.
   bool m_waitReported = false; ///< That the current attempt's answer is slow.
   bool m_finished = false;
 };
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -661,6 +661,10 @@
     recordWait(Replica);
   if (!Failed && Outcome != ReplicaOutcome::Served)
     return;
+  // A request that failed once often fails again for a reason of its own, so
+  // its further attempts are no samples of their own.
+  if (std::exchange(m_failedBefore, m_failedBefore || Failed))
+    return;
   const TimePoint Now = m_env.Clk.now();
   policy::VersionSample Sample{
       .Route = m_route->Name,
--- a/src/nutmegdrift/gateway/slow_version_test.cpp
+++ b/src/nutmegdrift/gateway/slow_version_test.cpp
@@ -90,5 +90,58 @@
   EXPECT_FALSE(rolledBack());
 }
 
+struct PlainVersion : SlowVersion {
+  void plainVersion(const std::string &Version,
+                    const ScriptedReplica::Reaction &OnRequest) {
+    replica(OnRequest);
+    const routing::ReplicaId Id = "r" + std::to_string(Replicas.size());
+    routing::ReplicaRecord Record = Daemon->state().Replicas.find(Id)->Record;
+    Record.Version = Version;
+    Daemon->state().Replicas.upsert(Record, Clk.now());
+  }
+  /// Sends a request and leaves after Patience.
+  void callAndLeave(Duration Patience) {
+    const auto Caller =
+        std::make_shared<net::ClientConnection>(Loop, Clk, Settings.Front);
+    net::HttpRequest Request{.Method = "GET", .Target = "/safe/x"};
+    Request.Headers.add("Host", "h");
+    Request.Headers.add("Id", "id" + std::to_string(++LastId));
+    bool Done = false;
+    Caller->send(net::serialise(Request), 1s,
+                 {.OnEnd = [&] { Done = true; },
+                  .OnFailure = [&](net::ClientFailure) { Done = true; }});
+    const TimePoint Until = Clk.now() + Patience;
+    runUntil([&] { return Done || Clk.now() >= Until; });
+    Caller->close();
+  }
+};
+
+// The callers of a version that hardly answers left before they had an outcome,
+// and the version was kept.
+TEST_F(PlainVersion, AVersionWhoseSlowAnswersAreNotAwaitedIsRolledBack) {
+  apply();
+  plainVersion("v1", answerDone);
+  plainVersion("v2", [](net::ServerExchange &) {});
+  order();
+  for (int I = 0; I < 600 && !rolledBack(); ++I)
+    callAndLeave(60ms);
+  runUntil([&] { return rolledBack(); });
+  EXPECT_TRUE(rolledBack());
+}
+
+// A request that fails at each replica made a good version look bad, as each
+// of its attempts was an outcome.
+TEST_F(PlainVersion, FailedAttemptsOfOneRequestAreOneOutcome) {
+  apply();
+  for (int I = 0; I < 2; ++I)
+    plainVersion("v1", [](net::ServerExchange &Exchange) {
+      Exchange.answer(500, answerHeaders(Exchange), "no");
+    });
+  order();
+  EXPECT_EQ(call("/safe/x").Status, 500);
+  EXPECT_EQ(Replicas[0]->Requests + Replicas[1]->Requests, 2);
+  EXPECT_EQ(Daemon->state().Rollouts.reports(Clk.now()).at(0).Old.All, 1U);
+}
+
 } // namespace
 } // namespace nutmegdrift::gateway
