Log the outcomes of each route of a rollout, and don't try hopeless routes more

Cause: the log had the outcomes of all routes together, so that a failing route and a failing version looked alike. On a route that fails on any version the trial spent eight of some sixty requests without a result.

Change: routes=ROUTE=FAILED/ALL,FAILED/ALL in rollout.stage; no larger share for a route on which the old version fails more than four in five.

Ruled out: leaving such routes out of the trial; the version may mend them.

--- a/include/nutmegdrift/gateway/fleet_rollouts.h
+++ b/include/nutmegdrift/gateway/fleet_rollouts.h
@@ -83,6 +83,9 @@
   static constexpr double EarlyOutcomes = 30;
   static constexpr double MinEarlyOutcomesOfRoute = 4;
   static constexpr double EarlyFraction = 0.25;
+  /// A route on which the old version fails more often gets no more than
+  /// CanaryShare.
+  static constexpr double MaxOldFailures = 0.8;
   /// Largest share of a route that the canary gets.
   static constexpr double MaxCanaryShare = 0.5;
   /// The rates of routes are known after this time.
@@ -174,6 +177,7 @@
     double Evidence = 0.0; ///< See policy::VersionJudge.
     std::optional<policy::VersionDoubt> Doubt{};
     double CanaryShare = 0.0; ///< Of the requests, in the Canary stage.
+    std::map<policy::RouteName, policy::VersionJudge::RouteOutcomes> Routes{};
   };
   [[nodiscard]] std::vector<Report> reports(TimePoint Now) const;
 
--- a/include/nutmegdrift/policy/version_judge.h
+++ b/include/nutmegdrift/policy/version_judge.h
@@ -287,7 +287,9 @@
   /// Outcomes on one route, at both versions and at the new one.
   struct RouteOutcomes {
     std::uint64_t All = 0;
+    std::uint64_t Failed = 0;
     std::uint64_t New = 0;
+    std::uint64_t NewFailed = 0;
   };
   [[nodiscard]] const std::map<RouteName, RouteOutcomes> &
   routeOutcomes() const {
--- a/src/nutmegdrift/gateway/fleet_rollouts.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts.cpp
@@ -343,8 +343,12 @@
   double New = 0.0;
   for (const auto &[Name, Route] : Outcomes) {
     const auto Seen = static_cast<double>(Route.All);
+    const auto Old = static_cast<double>(Route.All - Route.New);
+    const auto OldFailed = static_cast<double>(Route.Failed - Route.NewFailed);
+    // Where the old version hardly serves, more requests would show nothing.
+    const bool Judgeable = OldFailed < MaxOldFailures * Old;
     const double Share =
-        Rollout.Judge.doubtOn(Name)
+        Judgeable && Rollout.Judge.doubtOn(Name)
             ? std::min(routing::CanaryShare + Early / (Seen * EarlyPart),
                        MaxCanaryShare)
             : routing::CanaryShare;
@@ -553,7 +557,8 @@
                 .Old = Rollout.Judge.oldOutcomes(),
                 .Evidence = Rollout.Judge.evidence(),
                 .Doubt = Rollout.Judge.doubt(),
-                .CanaryShare = Rollout.CanaryShare};
+                .CanaryShare = Rollout.CanaryShare,
+                .Routes = Rollout.Judge.routeOutcomes()};
     const TimePoint Done = completionTime(Rollout);
     if (Rollout.Stage == RolloutStage::Moving) {
       const bool Complete =
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -34,6 +34,23 @@
           .IdleTimeout = Limits.IdleTimeout};
 }
 
+/// "ROUTE=FAILED/ALL,FAILED/ALL ...": outcomes at both versions and at the new
+/// one, of the first routes.
+std::string routesText(const FleetRollouts::Report &Report) {
+  constexpr std::size_t MaxRoutes = 8;
+  std::string Out;
+  std::size_t Count = 0;
+  for (const auto &[Name, Route] : Report.Routes) {
+    if (++Count > MaxRoutes)
+      break;
+    Out += (Out.empty() ? "" : " ") + Name + "=" +
+           std::to_string(Route.Failed) + "/" + std::to_string(Route.All) +
+           "," + std::to_string(Route.NewFailed) + "/" +
+           std::to_string(Route.New);
+  }
+  return Out;
+}
+
 } // namespace
 
 Gateway::Gateway(net::EventLoop &Loop, const Clock &Clk, DecisionLog &Log,
@@ -410,6 +427,7 @@
                 {"evidence", std::to_string(Report.Evidence)},
                 {"open", Report.Doubt ? policy::toString(*Report.Doubt) : "no"},
                 {"canary_share", std::to_string(Report.CanaryShare)},
+                {"routes", routesText(Report)},
                 {"reason", Report.Reason}});
   replicasChanged();
   m_beacon.sendNow();
--- a/src/nutmegdrift/policy/version_judge.cpp
+++ b/src/nutmegdrift/policy/version_judge.cpp
@@ -376,7 +376,9 @@
   Counts.Failed += Sample.Failed ? 1U : 0U;
   RouteOutcomes &OfRoute = m_routeOutcomes[Sample.Route];
   ++OfRoute.All;
+  OfRoute.Failed += Sample.Failed ? 1U : 0U;
   OfRoute.New += Sample.FromNewVersion ? 1U : 0U;
+  OfRoute.NewFailed += Sample.FromNewVersion && Sample.Failed ? 1U : 0U;
   auto &Route = routeState(Sample.Route);
   countFailure(Sample);
   addFirstToken(Sample);
