Apply a share of the canary that falls in small steps

Cause: each step was compared with the step before, so that a share that fell slowly was never given to the dispatchers; they kept that of the beginning until something else changed. Found by reading the change once more.

Change: the share is compared with the one that is applied.

Measured: TheShareOfTheCanaryFallsWhenTheVersionIsShownToBeGood. It was not run on the code before; the number of canary replicas there followed the last step.

Ruled out: more requests than allowed, which TrialBounds limits in any case.

--- a/include/nutmegdrift/gateway/fleet_rollouts.h
+++ b/include/nutmegdrift/gateway/fleet_rollouts.h
@@ -88,6 +88,8 @@
   static constexpr double MaxOldFailures = 0.8;
   /// Largest share of a route that the canary gets.
   static constexpr double MaxCanaryShare = 0.5;
+  /// Smaller changes of the share of all routes together are not applied.
+  static constexpr double MinShareChange = 0.01;
   /// The rates of routes are known after this time.
   static constexpr Duration RateTime = std::chrono::milliseconds(500);
   /// Moving starts only with at least this many new replicas per old one; fewer
--- a/src/nutmegdrift/gateway/fleet_rollouts.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts.cpp
@@ -357,8 +357,11 @@
     All += Seen;
     New += Share * Seen;
   }
-  const double Before = std::exchange(Rollout.CanaryShare, New / All);
-  return std::abs(Before - Rollout.CanaryShare) > routing::CanaryShare / 2;
+  // Each change makes the dispatchers choose anew.
+  if (std::abs(New / All - Rollout.CanaryShare) < MinShareChange)
+    return false;
+  Rollout.CanaryShare = New / All;
+  return true;
 }
 
 FleetRollouts::VersionReplicas
--- a/src/nutmegdrift/gateway/fleet_rollouts_test.cpp
+++ b/src/nutmegdrift/gateway/fleet_rollouts_test.cpp
@@ -354,6 +354,17 @@
   EXPECT_LE(New["rare"] + New["busy"], 27 + 50);
 }
 
+// The share fell in steps too small to be applied, and the dispatchers kept the
+// share of the beginning.
+TEST_F(Rollouts, TheShareOfTheCanaryFallsWhenTheVersionIsShownToBeGood) {
+  playGoodTrial(Start + 550ms);
+  EXPECT_GT(m_rollouts.reports(Start + 550ms).at(0).CanaryShare,
+            2 * routing::CanaryShare);
+  playGoodTrial(Start + 10s);
+  EXPECT_LT(m_rollouts.reports(Start + 10s).at(0).CanaryShare,
+            routing::CanaryShare + FleetRollouts::MinShareChange);
+}
+
 // Requests that were meant for a canary waited for it, although the old
 // replicas were free.
 TEST_F(Rollouts, RequestsDoNotWaitForACanaryThatDeclines) {
