--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -185,5 +185,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   if (Count == 5 && std::string(Words[1]) == "replica")
     return runReplica(Words);
-  return Count == 5 ? Case(Words).run() : CouldNotRun;
+  if (Count != 5)
+    return CouldNotRun;
+  // Threads of connections may still use the case.
+  auto *Running = new Case(Words);
+  std::_Exit(Running->run());
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -129,5 +129,9 @@
 
 int main(int Count, char **Words) {
   std::signal(SIGPIPE, SIG_IGN);
-  return Count == 5 ? Case(Words).run() : CouldNotRun;
+  if (Count != 5)
+    return CouldNotRun;
+  // Threads of connections may still use the case.
+  auto *Running = new Case(Words);
+  std::_Exit(Running->run());
 }
