--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,4 +1,5 @@
-// Consumers read their answers slowly while the daemon stops as planned.
+// A grey replica runs requests and fails a part of them with 429, without the
+// header that says "not run".
 //   case ROOT FOLDER RECORD STATE
 #include "../common/lab.h"
 
@@ -8,37 +9,14 @@
 
 using namespace review;
 
-constexpr std::size_t AnswerBytes = 1040000;
-/// A consumer's reading; its answer takes seven seconds.
-constexpr double BytesPerSecond = 150000.0;
-constexpr int Consumers = 3;
 constexpr int Replicas = 3;
 constexpr unsigned Slots = 6;
-/// From the requests to the SIGTERM.
-constexpr Millis StopAfter{300};
-constexpr Millis Grace{8000};
-
-/// One channel of a replica: reads requests and answers each at once.
-void serve(int Socket, Record &Log, const std::string &Id) {
-  Reader In(Socket);
-  for (;;) {
-    Message Request;
-    if (!In.readMessage(Request, true))
-      return;
-    const std::string Attempt = Request.field(names::RequestId);
-    Log.line(Attempt, " runs at replica ", Id);
-    const bool Sent =
-        sendAll(Socket, std::string("HTTP/1.1 200 OK\r\n") + names::RequestId +
-                            ": " + Attempt + "\r\n" + names::Signature +
-                            ": whole-answer\r\nContent-Length: " +
-                            std::to_string(AnswerBytes) + "\r\n\r\n" +
-                            std::string(AnswerBytes, 'a'));
-    Log.line("replica ", Id, Sent ? " has sent all" : " could not send all",
-             " of the answer to ", Attempt);
-    if (!Sent)
-      return;
-  }
-}
+constexpr Millis Work{15};
+/// With the disruption, one replica fails this part of its requests.
+constexpr double FailedPart = 0.45;
+constexpr Millis GreyTime{6500};
+/// Between two requests.
+constexpr Millis Gap{100};
 
 class Case {
 public:
@@ -49,7 +27,7 @@
   int run() {
     m_store.put(names::StateKind, names::StateName, readJson(m_state));
     for (int I = 0; I < Replicas; ++I)
-      startReplica("i-" + std::to_string(I));
+      startReplica(text("i-", I), m_where.Trouble && I == 0);
     const auto Daemon = startDaemon(
         m_where, "d0",
         writeSettings(m_where, "d0", m_host, {m_host}, m_store.address()));
@@ -58,71 +36,90 @@
       return CouldNotRun;
     }
     pauseFor(Millis(3500)); // In touch.
-    std::vector<std::thread> Threads;
-    Threads.reserve(Consumers);
-    for (int I = 0; I < Consumers; ++I)
-      Threads.emplace_back([this, I] { consume(I); });
-    pauseFor(StopAfter);
-    if (m_where.Trouble) {
-      Daemon->signal(SIGTERM);
-      m_log.line("SIGTERM");
+    const int Socket = connectTo(m_host, FrontPort);
+    Reader In(Socket);
+    int Answered = 0;
+    int Requests = 0;
+    const auto End = Steady::now() + GreyTime;
+    for (; Steady::now() < End; ++Requests) {
+      Answered += ask(Socket, In, text("attempt", Requests)) ? 1 : 0;
+      pauseFor(Gap);
     }
-    for (std::thread &Each : Threads)
-      Each.join();
-    pauseFor(Millis(200));
-    if (m_where.Trouble && !Daemon->running())
-      m_log.line("the daemon has ended");
-    m_log.line(std::to_string(m_cut) + " answers cut, " +
-               std::to_string(m_whole) + " whole");
-    if (m_cut == 0 && m_whole != Consumers)
+    ::close(Socket);
+    const std::scoped_lock Lock(m_mutex);
+    const auto Twice =
+        std::count_if(m_runs.begin(), m_runs.end(),
+                      [](const auto &E) { return E.second > 1; });
+    m_log.line(Requests, " requests, ", Answered, " with a success, ", Twice,
+               " ran more than once");
+    if (!m_where.Trouble && Answered != Requests)
       return CouldNotRun;
-    return m_cut > 0 ? RuleBroken : RuleHeld;
+    return Twice > 0 ? RuleBroken : RuleHeld;
   }
 
 private:
-  void startReplica(const std::string &Id) {
-    m_replicas.push_back(
-        std::make_unique<Server>(Setting::host(2), [this, Id](int Socket) {
-          serve(Socket, m_log, Id);
-        }));
+  void startReplica(const std::string &Id, bool Grey) {
+    m_replicas.push_back(std::make_unique<Server>(
+        Setting::host(2),
+        [this, Id, Grey](int Socket) { serve(Socket, Id, Grey); }));
     m_store.putReplica(Id, "yard-app",
-                       Setting::host(2) + ":" +
-                           std::to_string(m_replicas.back()->port()),
+                       text(Setting::host(2), ":", m_replicas.back()->port()),
                        Slots);
   }
 
-  void consume(int Number) {
-    const std::string Attempt = "attempt" + std::to_string(Number);
-    const int Socket =
-        connectTo(m_host, FrontPort, EthernetLink{.WindowBytes = 8192});
-    m_log.line("sent " + Attempt);
-    sendAll(Socket, "POST /confirm/load HTTP/1.1\r\nHost: yard.example\r\n" +
-                        std::string(names::RequestId) + ": " + Attempt +
-                        "\r\n" + names::Deadline + ": 14000\r\n" +
-                        names::Authorization + ": " + names::BearerPrefix +
-                        "farmkey0001\r\nContent-Length: 4\r\n\r\nload");
-    Message Answer;
+  void serve(int Socket, const std::string &Id, bool Grey) {
     Reader In(Socket);
-    In.DropBody = true;
-    In.Rate = BytesPerSecond;
+    for (;;) {
+      Message Request;
+      if (!In.readMessage(Request, true))
+        return;
+      const std::string Attempt = Request.field(names::RequestId);
+      const bool Fails = runs(Attempt, Id) && Grey;
+      pauseFor(Work);
+      const std::string Body = Fails ? "failed" : "confirmed";
+      if (!sendAll(Socket,
+                   text(Fails ? "HTTP/1.1 429 Too Many Requests\r\n"
+                              : "HTTP/1.1 200 OK\r\n",
+                        names::RequestId, ": ", Attempt, "\r\n",
+                        names::Signature, ": ", Id,
+                        "\r\nContent-Length: ", Body.size(), "\r\n\r\n", Body)))
+        return;
+    }
+  }
+
+  /// Notes the run; true for the part of the runs that a grey replica fails.
+  bool runs(const std::string &Attempt, const std::string &Id) {
+    const std::scoped_lock Lock(m_mutex);
+    m_log.line("replica ", Id, " runs ", Attempt, ", for the ",
+               ++m_runs[Attempt], ". time");
+    const int Count = ++m_runsOf[Id];
+    return static_cast<int>(Count * FailedPart) >
+           static_cast<int>((Count - 1) * FailedPart);
+  }
+
+  bool ask(int Socket, Reader &In, const std::string &Attempt) {
+    m_log.line("sent ", Attempt);
+    sendAll(Socket,
+            text("POST /confirm/load HTTP/1.1\r\nHost: yard.example\r\n",
+                 names::RequestId, ": ", Attempt, "\r\n", names::Deadline,
+                 ": 1500\r\n", names::Authorization, ": ", names::BearerPrefix,
+                 "farmkey0001\r\nContent-Length: 4\r\n\r\nload"));
+    Message Answer;
     In.readMessage(Answer, false);
-    ::close(Socket);
-    m_log.line("answer to " + Attempt + ": '" + Answer.FirstLine + "', " +
-               std::to_string(Answer.BodyBytes) + " of " +
-               Answer.field("Content-Length") + " bytes, " +
-               (Answer.Complete ? "complete" : "the channel ended") +
-               (Answer.Reset ? " by a reset" : ""));
-    (Answer.Complete ? m_whole : m_cut)++;
+    m_log.line("answer to ", Attempt, ": ", Answer.FirstLine, ", signature '",
+               Answer.field(names::Signature), "'");
+    return Answer.status() / 100 == 2;
   }
 
   const Setting m_where;
   Record m_log;
   const std::string m_state;
   const std::string m_host = Setting::host(10);
+  std::mutex m_mutex;
+  std::map<std::string, int> m_runs;   ///< By attempt.
+  std::map<std::string, int> m_runsOf; ///< By replica.
   Store m_store;
   std::vector<std::unique_ptr<Server>> m_replicas;
-  std::atomic<int> m_cut = 0;
-  std::atomic<int> m_whole = 0;
 };
 
 } // namespace
