Report a reset that a write or a look at the socket has seen as a reset

Cause: the operating system reports the error of a connection once. The loop serves a waiting write before a waiting read; ByteStream::flush() got ECONNRESET and dropped it, and the read that followed returned 0, an orderly end. peerClosed() and hasUnreadBytes() could take the error in the same way.

Change: the stream remembers that one of its calls reported a loss; an end of file after that is a reset. EPIPE without an earlier error follows an orderly close, whose bytes have all arrived, so it isn't counted.

Ruled out: an orderly close by the kernel (the write fails with ECONNRESET), and the answer's reader, which does what the stream tells it.

--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 namespace nutmegdrift::net {
 
 /// How a connection ended.
@@ -61,6 +63,8 @@
 private:
   void waitReadable();
   void readAvailable();
+  /// The result of a recv() that leaves the bytes unread.
+  ssize_t peek();
   void flush();
   void waitWritable();
   void end(StreamEnd Reason);
@@ -72,6 +76,10 @@
   Listener *m_listener;
   std::string m_out; ///< Bytes passed to write() and not yet sent.
   bool m_connected = false;
+  /// A write or a look at the socket reported that the connection is lost. The
+  /// operating system reports this only once, and a later read looks like an
+  /// orderly close.
+  bool m_lost = false;
   bool m_paused = false;
   bool m_waitingReadable = false;
   bool m_waitingWritable = false;
--- a/src/nutmegdrift/gateway/broken_replica_test.cpp
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -269,6 +269,39 @@
   EXPECT_EQ(RawEnd, net::StreamEnd::Reset);
 }
 
+// A replica crashed in an early answer without a length, while a part of the
+// request was unsent. Callers got the part as a whole success.
+TEST_F(BrokenReplica, AnEarlyAnswerThatBreaksOffIsNoSuccess) {
+  constexpr std::size_t BodyBytes = std::size_t{32} << 20U;
+  Daemon->setDesiredState(
+      {.Version = 2,
+       .Routes = {route("/once/", routing::RequestKind::RunOnce),
+                  route("/stream/", routing::RequestKind::Stream)},
+       .Services = {{.Name = "s"}},
+       .Limits = {.MaxBodyBytes = BodyBytes}});
+  for (const char *Path : {"/once/x", "/stream/x"}) {
+    auto &Only = rawReplica([](const std::string &Request) {
+      return RawReply{.Bytes = headOf(Request) +
+                               "Content-Type: text/event-stream\r\n\r\n"
+                               "data: a\n\n",
+                      .Then = AfterReply::Reset,
+                      .ThenAfter = 300ms};
+    });
+    const std::string Text = rawCall(
+        std::string("POST ") + Path +
+        " HTTP/1.1\r\nHost: h\r\nId: i\r\nConnection: close\r\n"
+        "Content-Length: " +
+        std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x'));
+    EXPECT_EQ(Only.Requests, 1);
+    EXPECT_TRUE(RawEnd == net::StreamEnd::Reset ||
+                Text.starts_with("HTTP/1.1 502"))
+        << Path << ": " << Text.substr(0, 200);
+    Daemon->state().Replicas.remove("raw" + std::to_string(RawReplicas.size()),
+                                    std::nullopt);
+    Daemon->replicasChanged();
+  }
+}
+
 std::string unframedStream(const std::string &Request,
                            const std::string &Events) {
   return headOf(Request) + "Content-Type: text/event-stream\r\n\r\n" + Events;
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -110,8 +110,8 @@
         Failed == boost::asio::error::try_again)
       break;
     if (Failed) {
-      end(Failed == boost::asio::error::eof ? StreamEnd::Closed
-                                            : StreamEnd::Reset);
+      const bool Orderly = Failed == boost::asio::error::eof && !m_lost;
+      end(Orderly ? StreamEnd::Closed : StreamEnd::Reset);
       return;
     }
     try {
@@ -148,6 +148,8 @@
     if (Failed) {
       // The loss is reported by the reading side, once all received bytes
       // have been read.
+      // EPIPE alone means that the peer closed in order before it reset.
+      m_lost = m_lost || Failed != boost::asio::error::broken_pipe;
       m_out.clear();
       m_finishing = false;
       return;
@@ -179,23 +181,18 @@
       });
 }
 
-bool ByteStream::peerClosed() {
-  if (!open())
-    return true;
+ssize_t ByteStream::peek() {
   char Next = 0;
   const ssize_t Count =
       ::recv(m_socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (Count > 0)
-    return false;
-  return Count == 0 ||
-         (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  if (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    m_lost = true;
+  return Count;
 }
 
-bool ByteStream::hasUnreadBytes() {
-  char Next = 0;
-  return open() && ::recv(m_socket.native_handle(), &Next, 1,
-                          MSG_PEEK | MSG_DONTWAIT) > 0;
-}
+bool ByteStream::peerClosed() { return !open() || peek() == 0 || m_lost; }
+
+bool ByteStream::hasUnreadBytes() { return open() && peek() > 0; }
 
 void ByteStream::finishWriting() {
   m_finishing = true;
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -263,6 +263,43 @@
   EXPECT_EQ(Failure, ClientFailure::Reset);
 }
 
+// A server reset the connection while a part of the request was unsent. The
+// write got the error, the next read looked like an orderly close, and half of
+// an answer without a length passed for the whole.
+TEST_F(ClientFixture, AResetSeenByAWriteIsNoOrderlyEnd) {
+  // More than the buffers of both sockets take.
+  const std::string LongRequest(std::size_t{32} << 20U, 'x');
+  Timer Crash(Loop);
+  Server.OnRequest = [&] {
+    Server.stream().pauseReading();
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\n\r\npart");
+    Crash.callAfter(100ms, [&] { Server.stream().reset(); });
+  };
+  Client->send("POST / HTTP/1.1\r\n\r\n" + LongRequest, 1s, events());
+  run();
+  EXPECT_EQ(Body, "part");
+  EXPECT_FALSE(Ended);
+  EXPECT_EQ(Failure, ClientFailure::Reset);
+}
+
+// The counterpart: a whole answer, and a close that is followed by a reset
+// because more of the request arrives, must not be lost.
+TEST_F(ClientFixture, AnOrderlyCloseBeforeTheWholeRequestIsSentEndsAnAnswer) {
+  const std::string LongRequest(std::size_t{32} << 20U, 'x');
+  Timer Close(Loop);
+  Server.OnRequest = [&] {
+    if (Status != 0 || Close.armed())
+      return;
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\n\r\nwhole");
+    Server.stream().finishWriting();
+    Close.callAfter(5s, [] {});
+  };
+  Client->send("POST / HTTP/1.1\r\n\r\n" + LongRequest, 1s, events());
+  run();
+  EXPECT_TRUE(Ended);
+  EXPECT_EQ(Body, "whole");
+}
+
 TEST_F(ClientFixture, ATruncatedAnswerFails) {
   Server.OnRequest = [&] {
     Server.stream().write(
@@ -282,6 +319,40 @@
   EXPECT_EQ(Failure, ClientFailure::ConnectFailed);
 }
 
+// A look at the socket took the error of a reset, and the end that was reported
+// afterwards was an orderly one.
+TEST(ByteStream, LookingAtAResetConnectionKeepsTheReset) {
+  EventLoop Loop(1);
+  struct Recorder final : ByteStream::Listener {
+    void onData(std::string_view) override {}
+    void onEnd(StreamEnd Reason) override { End = Reason; }
+    std::optional<StreamEnd> End;
+  } Owner;
+  std::shared_ptr<ByteStream> Accepted;
+  TcpListener Listener(Loop, [&](TcpSocket Socket) {
+    Accepted = std::make_shared<ByteStream>(std::move(Socket), Owner);
+  });
+  ASSERT_TRUE(Listener.listen({.Host = "127.0.0.1", .Port = 0}));
+  for (const bool AskForBytes : {false, true}) {
+    Owner.End.reset();
+    Accepted.reset();
+    TcpSocket Peer(Loop);
+    Peer.connect(*tcpEndpoint({.Host = "127.0.0.1", .Port = Listener.port()}));
+    while (!Accepted)
+      Loop.run_one_for(1s);
+    Peer.set_option(boost::asio::socket_base::linger(true, 0));
+    Peer.close();
+    if (AskForBytes)
+      EXPECT_FALSE(Accepted->hasUnreadBytes());
+    else
+      EXPECT_TRUE(Accepted->peerClosed());
+    Accepted->startReading();
+    for (int Step = 0; Step < 100 && !Owner.End; ++Step)
+      Loop.run_one_for(50ms);
+    EXPECT_EQ(Owner.End, StreamEnd::Reset);
+  }
+}
+
 struct ServerFixture : ::testing::Test {
   ServerFixture() {
     EXPECT_TRUE(Server.listen({.Host = "127.0.0.1", .Port = 0}));
--- a/tests/support/raw_peer.cpp
+++ b/tests/support/raw_peer.cpp
@@ -10,7 +10,8 @@
   Connection(RawPeer &Owner, int Number, net::TcpSocket Socket)
       : m_owner(Owner), m_number(Number),
         m_stream(std::make_shared<net::ByteStream>(std::move(Socket), *this)),
-        m_lateTimer(Owner.m_loop), m_endlessTimer(Owner.m_loop) {}
+        m_lateTimer(Owner.m_loop), m_endlessTimer(Owner.m_loop),
+        m_endTimer(Owner.m_loop) {}
   ~Connection() override { m_stream->close(); }
 
   void start() { m_stream->startReading(); }
@@ -41,9 +42,19 @@
     if (!Reply.Late.empty())
       m_lateTimer.callAfter(Reply.LateAfter,
                             [this, Late = Reply.Late] { write(Late); });
-    if (Reply.Then == AfterReply::Reset)
+    if (Reply.ThenAfter == Duration{0}) {
+      end(Reply.Then);
+      return;
+    }
+    m_stream->pauseReading();
+    m_endTimer.callAfter(Reply.ThenAfter,
+                         [this, Then = Reply.Then] { end(Then); });
+  }
+
+  void end(AfterReply Then) {
+    if (Then == AfterReply::Reset)
       m_stream->reset();
-    if (Reply.Then == AfterReply::Close)
+    if (Then == AfterReply::Close)
       m_stream->finishWriting();
   }
 
@@ -74,6 +85,7 @@
   std::size_t m_writtenInTurn = 0;
   net::Timer m_lateTimer;
   net::Timer m_endlessTimer;
+  net::Timer m_endTimer;
 };
 
 RawPeer::RawPeer(net::EventLoop &Loop, Script OnRequest)
--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -19,6 +19,8 @@
   /// Written again and again while the other side reads; empty: nothing.
   std::string Endless{};
   AfterReply Then = AfterReply::KeepOpen;
+  /// If not 0, nothing more is read until then.
+  Duration ThenAfter{0};
   /// Written later on the same connection.
   std::string Late{};
   Duration LateAfter{0};
