Take only a replica's own word for "not run"

Cause: HttpDialect::readAnswer() took the status 429 for "not run", and Call::onEnd() then sends a request of any kind again. In the other direction a replica's own 408, 429 or 503 was forwarded to the caller, who reads these statuses as the promise that the request did not run.

Change: the dialect tells apart what the replica says (the field, or 421) and what callers read in the status. An answer that only looks like a refusal is a failure after a possible run: repeated only if the request may run twice, and answered with 502, without the replica's signature.

Ruled out: a retry after a lost connection (the replica keeps it); the store's statuses (writers treat each one that isn't named as unknown); nutmegd, which goes by a field.

--- a/include/nutmegdrift/gateway/dialect.h
+++ b/include/nutmegdrift/gateway/dialect.h
@@ -41,6 +41,9 @@
 struct AnswerMetadata {
   std::string Id;      ///< Of the request that it answers.
   bool NotRun = false; ///< The replica did not run the request.
+  /// Callers read the status as a promise that the request did not run, whether
+  /// or not the replica says so.
+  bool ReadAsNotRun = false;
   bool Signed = false; ///< Has the replica's signature.
   /// Requests per second that the replica accepts from all callers together;
   /// none: it named no limit.
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -345,6 +345,11 @@
     return;
   }
   const int Status = m_head->Status;
+  // Forwarded, the status would promise the caller what no replica said.
+  if (m_answerMetadata.ReadAsNotRun) {
+    attemptFailed(ReplicaOutcome::Failed, "status-" + std::to_string(Status));
+    return;
+  }
   if (isSuccess(Status) && !m_answerMetadata.Signed) {
     attemptFailed(ReplicaOutcome::Failed, "unsigned");
     return;
--- a/src/nutmegdrift/gateway/declining_replica_test.cpp
+++ b/src/nutmegdrift/gateway/declining_replica_test.cpp
@@ -77,5 +77,54 @@
   EXPECT_EQ(Paused.Requests, 1);
 }
 
+// A replica ran requests that may run once and answered 429 or 503 without
+// saying that they had not run. They ran at a second replica as well, or their
+// callers were promised that they had not run.
+TEST_F(DecliningReplica, ABusyStatusAloneIsNoPromiseThatARequestDidNotRun) {
+  apply();
+  const auto Fail = [](int Status) {
+    return [Status](net::ServerExchange &Exchange) {
+      Exchange.answer(Status, answerHeaders(Exchange), "after the run");
+    };
+  };
+  for (const int Status : {429, 503}) {
+    auto &First = replica(Fail(Status));
+    auto &Second = replica(Fail(Status));
+    for (const char *Path : {"/once/x", "/stream/x"}) {
+      SCOPED_TRACE(::testing::Message() << Status << ' ' << Path);
+      const int Before = First.Requests + Second.Requests;
+      const Answer Received = call(Path);
+      EXPECT_EQ(Received.Status, 502);
+      EXPECT_FALSE(Received.Headers.find("Sig"));
+      EXPECT_FALSE(Received.Headers.find("Retry-After"));
+      EXPECT_EQ(First.Requests + Second.Requests, Before + 1);
+    }
+    // One that may be repeated still goes to the other replica.
+    const int Before = First.Requests + Second.Requests;
+    EXPECT_EQ(call("/safe/x").Status, 502);
+    EXPECT_EQ(First.Requests + Second.Requests, Before + 2);
+    for (std::size_t I = Replicas.size() - 1; I <= Replicas.size(); ++I)
+      Daemon->state().Replicas.remove("r" + std::to_string(I), std::nullopt);
+    Daemon->replicasChanged();
+  }
+}
+
+// The promise must hold for the whole request: one attempt ran and failed, and
+// the next replica refused.
+TEST_F(DecliningReplica, ARefusalAfterARunIsNoPromise) {
+  apply();
+  int Requests = 0;
+  const auto RunOnceThenRefuse = [&Requests](net::ServerExchange &Exchange) {
+    net::HeaderList Headers = answerHeaders(Exchange);
+    if (++Requests > 1)
+      Headers.add("Not-Run", "1");
+    Exchange.answer(503, Headers, "");
+  };
+  replica(RunOnceThenRefuse);
+  replica(RunOnceThenRefuse);
+  EXPECT_EQ(call("/safe/x").Status, 502);
+  EXPECT_EQ(Requests, 2);
+}
+
 } // namespace
 } // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/gateway/gateway_fixture.h
+++ b/src/nutmegdrift/gateway/gateway_fixture.h
@@ -59,6 +59,7 @@
   AnswerMetadata readAnswer(const net::HttpAnswerHead &Head) const override {
     return {.Id = std::string(Head.Headers.find("Id").value_or("")),
             .NotRun = Head.Headers.find("Not-Run").has_value(),
+            .ReadAsNotRun = Head.Status == 429 || Head.Status == 503,
             .Signed = Head.Headers.find("Sig").has_value(),
             .RateLimit = rateLimit(Head.Headers),
             .Leaving = Head.Headers.find("Leaving").has_value(),
