Reset a connection whose close would end a cut answer

An HTTP/1.0 caller that reads slowly, or whose daemon ends, got a part of an answer without a length and an orderly close, which is the end of a whole one.

Cause: each close is orderly unless a path says otherwise. abort() did so; the timer that ends a connection after its answer, the server's destruction and the end of the process did not.

Change: while only the close can show the end of an answer, the socket resets on close. Writing all bytes and shutting down the sending side ends that.

Ruled out: a flag that each closing path asks, since a killed process asks none.

--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -53,6 +53,10 @@
   [[nodiscard]] bool peerClosed();
   /// Whether the peer has sent bytes that have not been read.
   [[nodiscard]] bool hasUnreadBytes();
+  /// Until finishWriting() has been carried out, any close resets the
+  /// connection, also the one at the end of the process. For bytes whose end
+  /// only the close shows.
+  void resetUnlessFinished();
   /// Shuts down the sending side once the buffered bytes have been sent.
   void finishWriting();
   /// Detaches the listener and closes the connection.
@@ -69,6 +73,7 @@
   void waitWritable();
   void end(StreamEnd Reason);
   void shutdownWhenFlushed();
+  void setResetOnClose(bool Reset);
 
   TcpSocket m_socket;
   Timer m_connectTimer;
@@ -84,6 +89,7 @@
   bool m_waitingReadable = false;
   bool m_waitingWritable = false;
   bool m_finishing = false;
+  bool m_resetUnlessFinished = false;
 };
 
 } // namespace nutmegdrift::net
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -194,6 +195,17 @@
 
 bool ByteStream::hasUnreadBytes() { return open() && peek() > 0; }
 
+void ByteStream::resetUnlessFinished() {
+  m_resetUnlessFinished = true;
+  setResetOnClose(true);
+}
+
+void ByteStream::setResetOnClose(bool Reset) {
+  boost::system::error_code Ignored;
+  if (m_socket.is_open())
+    m_socket.set_option(boost::asio::socket_base::linger(Reset, 0), Ignored);
+}
+
 void ByteStream::finishWriting() {
   m_finishing = true;
   if (m_out.empty())
@@ -206,6 +218,8 @@
   m_finishing = false;
   boost::system::error_code Ignored;
   m_socket.shutdown(TcpSocket::shutdown_send, Ignored);
+  if (std::exchange(m_resetUnlessFinished, false))
+    setResetOnClose(false);
 }
 
 void ByteStream::end(StreamEnd Reason) {
@@ -223,9 +237,7 @@
 }
 
 void ByteStream::reset() {
-  boost::system::error_code Ignored;
-  if (m_socket.is_open())
-    m_socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  setResetOnClose(true);
   close();
 }
 
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -86,7 +86,11 @@
   [[nodiscard]] bool closeAfterAnswer() const {
     return m_server.m_draining || !m_keepAlive;
   }
-  void closeAfterThisAnswer() { m_keepAlive = false; }
+  /// Only the close shows the caller that the answer is complete.
+  void endAnswerByClose() {
+    m_keepAlive = false;
+    m_stream->resetUnlessFinished();
+  }
   ByteStream &stream() { return *m_stream; }
 
   void onAnswered() {
@@ -247,7 +251,7 @@
   else if (m_chunked)
     Headers.add("Transfer-Encoding", "chunked");
   else
-    Connection->closeAfterThisAnswer();
+    Connection->endAnswerByClose();
   if (Connection->closeAfterAnswer())
     Headers.add("Connection", "close");
   Connection->stream().write(serialiseHead(Status, Headers));
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -376,10 +376,14 @@
         : Stream(std::make_shared<ByteStream>(Loop, *this)) {}
     void connect(const HostPort &Peer) { Stream->connect(Peer, 1s); }
     void onData(std::string_view Data) override { Received.append(Data); }
-    void onEnd(StreamEnd) override { Ended = true; }
+    void onEnd(StreamEnd End) override {
+      Ended = true;
+      Reason = End;
+    }
     std::shared_ptr<ByteStream> Stream;
     std::string Received;
     bool Ended = false;
+    std::optional<StreamEnd> Reason;
   };
 
   EventLoop Loop{1};
@@ -433,6 +437,41 @@
   EXPECT_EQ(Received.find("0\r\n\r\n"), std::string::npos);
 }
 
+// An HTTP/1.0 caller that read slowly lost the rest of its answer when the
+// server closed the connection, and took the part for the whole.
+TEST_F(ServerFixture, AnAnswerWithoutALengthThatIsCutEndsWithAReset) {
+  constexpr std::size_t LongAnswer = std::size_t{32} << 20U;
+  for (const bool Cut : {false, true}) {
+    auto Fresh = std::make_shared<ByteStream>(Loop, Caller);
+    Caller.Stream->close();
+    Caller.Stream = Fresh;
+    Caller.Ended = false;
+    Caller.Received.clear();
+    Caller.connect({.Host = "127.0.0.1", .Port = Server.port()});
+    Answer = [&](ServerExchange &Exchange) {
+      Exchange.begin(200, {}, std::nullopt);
+      Exchange.write(std::string(LongAnswer, 'x'));
+      Exchange.finish();
+      if (Cut)
+        Caller.Stream->pauseReading();
+    };
+    Caller.Stream->write("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    const auto End = std::chrono::steady_clock::now() + 5s;
+    const auto Done = [&] {
+      return Cut ? !Exchanges.empty() && Server.connections() == 0
+                 : Caller.Ended;
+    };
+    while (!Done() && std::chrono::steady_clock::now() < End)
+      Loop.run_one_for(50ms);
+    Caller.Stream->resumeReading();
+    while (!Caller.Ended && std::chrono::steady_clock::now() < End)
+      Loop.run_one_for(50ms);
+    EXPECT_EQ(Caller.Reason, Cut ? StreamEnd::Reset : StreamEnd::Closed);
+    EXPECT_EQ(Caller.Received.size() > LongAnswer, !Cut);
+    Exchanges.clear();
+  }
+}
+
 // Guards against running out of descriptors: callers of a busy VM kept
 // thousands of idle connections open until it could accept no new ones.
 TEST_F(ServerFixture, ClosesTheLongestIdleConnections) {
