Read again on a connection whose answer ended while it was paused

A request on a reused connection waited for its deadline although its replica had answered.

Cause: the read that exceeds the bound on a slow caller's unsent bytes may also end the answer. The call has then no connection to resume, and the pool keeps one that never reads.

Change: ClientConnection::finish() resumes reading.

Ruled out: resuming in Call or in the pool, which would leave the store's connections and later owners to remember it.

--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -183,6 +183,7 @@
 
 void ClientConnection::finish() {
   m_busy = false;
+  resumeReading();
   m_idleSince = m_clock.now();
   const Events Callbacks = std::move(m_events);
   m_events = {};
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -311,6 +311,26 @@
   EXPECT_EQ(Failure, ClientFailure::Closed);
 }
 
+// Reading was paused for a slow caller in the same read that ended the answer.
+// The connection was used again, and its next answer was never read.
+TEST_F(ClientFixture, AConnectionPausedAtTheEndOfAnAnswerReadsTheNextOne) {
+  Server.OnRequest = [&] {
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: "
+                          "2\r\n\r\nok");
+  };
+  ClientConnection::Events Pausing = events();
+  Pausing.OnBody = [&](std::string_view) { Client->pauseReading(); };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, Pausing);
+  run();
+  ASSERT_TRUE(Ended && Client->reusable());
+  Ended = false;
+  Loop.restart();
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  run();
+  EXPECT_TRUE(Ended);
+  EXPECT_EQ(Body, "ok");
+}
+
 TEST_F(ClientFixture, NoListenerIsAConnectFailure) {
   auto Nobody = std::make_shared<ClientConnection>(
       Loop, Clk, HostPort{.Host = "127.0.0.1", .Port = 1});
