Don't continue a stream in the middle of an event that was passed on

A stream whose replica crashed within an event of more than 256 KiB went on at the next replica with another event, joined to the part of the first one. An event stream without a length that was closed there looked complete.

Cause: EventCutter passes such an event on in parts, and its empty buffer was taken for the state between two events.

Change: the cutter knows that a part of the current event was passed on; the last id is gone until an event that names one has ended.

Ruled out: holding such events back whole, which one replica could use to fill the memory.

--- a/src/nutmegdrift/gateway/broken_replica_test.cpp
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -2,6 +2,8 @@
 // do, on real connections. Each test names the failure that it guards against.
 #include "gateway_fixture.h"
 
+#include <ctime>
+
 namespace nutmegdrift::gateway {
 namespace {
 
@@ -437,6 +439,59 @@
   }
 }
 
+// An event was longer than what is held back, so its first part was passed on.
+// Its replica crashed, and the stream went on at another replica with the next
+// event, in the middle of the first one.
+TEST_F(BrokenReplica, AStreamThatBreaksWithinAPassedOnEventIsNotContinued) {
+  const std::string Part =
+      "id: 2\ndata: " + std::string(EventCutter::MaxPartialBytes + 1, 'x');
+  const auto Script = [&](const std::string &Request) {
+    if (fieldOf(Request, "After") == "1")
+      return RawReply{.Bytes =
+                          unframedStream(Request, "id: 2\ndata: whole\n\n"),
+                      .Then = AfterReply::Close};
+    return RawReply{.Bytes =
+                        unframedStream(Request, "id: 1\ndata: a\n\n" + Part),
+                    .Then = AfterReply::Close};
+  };
+  rawReplica(Script);
+  rawReplica(Script);
+  const Answer Received = call("/resume/x");
+  EXPECT_TRUE(Received.Failure);
+  EXPECT_EQ(Received.Body.find("whole"), std::string::npos);
+}
+
+// Each part of an event was searched from the event's start: an event in small
+// parts took a VM's processor.
+TEST(EventCutter, AnEventInSmallPartsTakesTimeLinearInItsLength) {
+  const auto TimeOf = [](std::size_t Length) {
+    EventCutter Cutter;
+    const std::clock_t Began = std::clock();
+    for (std::size_t I = 0; I < Length; ++I)
+      EXPECT_TRUE(Cutter.put("x").empty());
+    EXPECT_EQ(Cutter.put("\n\n").size(), Length + 2);
+    return std::max<std::clock_t>(std::clock() - Began, 1);
+  };
+  constexpr std::size_t Long = EventCutter::MaxPartialBytes - 2;
+  TimeOf(Long);
+  // 32 times the length; quadratic time would be 1,000 times as long.
+  EXPECT_LT(TimeOf(Long), 200 * TimeOf(Long / 32));
+}
+
+TEST(EventCutter, FindsABoundaryInAnySplit) {
+  const std::string Events = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nd";
+  for (std::size_t First = 0; First <= Events.size(); ++First)
+    for (std::size_t Second = First; Second <= Events.size(); ++Second) {
+      EventCutter Cutter;
+      std::string Out = Cutter.put(Events.substr(0, First));
+      Out += Cutter.put(Events.substr(First, Second - First));
+      Out += Cutter.put(Events.substr(Second));
+      EXPECT_EQ(Out, Events.substr(0, Events.size() - 1));
+      EXPECT_EQ(Cutter.lastId(), "2");
+      EXPECT_TRUE(Cutter.withinEvent());
+    }
+}
+
 // A stream that sends a byte now and then, but no event, must end at the
 // route's time, and its caller must be able to tell that it is not complete.
 TEST_F(BrokenReplica, AStreamThatOnlyDripsEndsAtTheRoutesTime) {
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -285,8 +285,7 @@
   if (m_cutEvents) {
     const std::string CompleteEvents = m_events.put(Body);
     m_exchange->write(CompleteEvents);
-    if (!m_events.lastId().empty())
-      m_resumeAfter = m_events.lastId();
+    m_resumeAfter = m_events.lastId();
   } else if (!m_body.empty()) {
     m_exchange->write(m_body);
     m_body.clear();
