Pass chunks on together and bound the rate of small ones

Cause: each chunk was passed on by itself, with a write to the caller's socket for one byte. The bytes of a peer were bounded in a turn of the loop, its work was not.

Change: the parts of a body that arrive together are one part. An endpoint may send 20,000 chunks of less than 64 bytes a second over all connections; above that its connections aren't read for a while. The figure is far above an engine at the target size, 3,000 tokens a second in a chunk each.

Ruled out: a limit on the share of framing in an answer, which two-byte chunks pass, and limits on time measured in a turn, which depend on the machine.

--- a/include/nutmegdrift/gateway/endpoint_pool.h
+++ b/include/nutmegdrift/gateway/endpoint_pool.h
@@ -57,6 +57,8 @@
   struct PerReplica {
     std::vector<Connection> Idle; ///< Most recently used last.
     unsigned InUse = 0;
+    std::shared_ptr<net::SmallChunkLimit> Chunks =
+        std::make_shared<net::SmallChunkLimit>();
   };
 
   net::EventLoop &m_loop;
--- a/include/nutmegdrift/net/client_connection.h
+++ b/include/nutmegdrift/net/client_connection.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/net/byte_stream.h"
 #include "nutmegdrift/net/http_message.h"
+#include "nutmegdrift/net/small_chunk_limit.h"
 
 namespace nutmegdrift::net {
 
@@ -32,12 +33,15 @@
     /// Whether the answer belongs to this request. Empty: always.
     std::function<bool(const HttpAnswerHead &)> Accept{};
     std::function<void(HttpAnswerHead)> OnHead{};
+    /// Called once for all chunks that arrive together.
     std::function<void(std::string_view)> OnBody{};
     std::function<void()> OnEnd{};
     std::function<void(ClientFailure)> OnFailure{};
   };
 
-  ClientConnection(EventLoop &Loop, const Clock &Clk, HostPort Peer);
+  /// Chunks is shared by all connections to one endpoint; null: no limit.
+  ClientConnection(EventLoop &Loop, const Clock &Clk, HostPort Peer,
+                   std::shared_ptr<SmallChunkLimit> Chunks = nullptr);
   ~ClientConnection() override;
 
   /// Sends a request and connects first if needed. Must not be called while
@@ -73,6 +77,12 @@
 private:
   void startAnswer();
   void onAnswerHead(HttpAnswerHead Head);
+  /// Keeps a part of the body until passBodyOn().
+  void addBody(std::string_view Part);
+  void passBodyOn();
+  /// Pauses reading if the endpoint sends too many small chunks.
+  void limitChunks();
+  void updateReading();
   void finish();
   void failRequest(ClientFailure Failure);
 
@@ -84,6 +94,12 @@
   std::string m_unread;           ///< Bytes that the reader has not consumed.
   std::size_t m_foreignBytes = 0; ///< Dropped for the current request.
   Events m_events;
+  std::string_view m_bodyPart; ///< Of the bytes that are being read.
+  std::string m_joinedBody;    ///< Several parts; empty if m_bodyPart is all.
+  const std::shared_ptr<SmallChunkLimit> m_chunks;
+  std::size_t m_smallChunks = 0; ///< Not yet counted by m_chunks.
+  Timer m_chunkTimer;            ///< Until the limit allows reading again.
+  bool m_paused = false;         ///< By pauseReading().
   bool m_busy = false;
   /// The answer being read belongs to the request.
   bool m_answerMatches = false;
--- a/include/nutmegdrift/net/http_message.h
+++ b/include/nutmegdrift/net/http_message.h
@@ -110,6 +110,8 @@
   struct Events {
     std::function<void(HttpAnswerHead)> OnHead;
     std::function<void(std::string_view)> OnBody;
+    /// The length of a chunk, before its body.
+    std::function<void(std::uint64_t)> OnChunk{};
   };
 
   /// Largest accepted header of an endpoint's answer.
--- a/src/nutmegdrift/gateway/endpoint_pool.cpp
+++ b/src/nutmegdrift/gateway/endpoint_pool.cpp
@@ -48,8 +48,8 @@
     return nullptr;
   ++Connections.InUse;
   ++m_opened;
-  return std::make_shared<net::ClientConnection>(m_loop, m_clock,
-                                                 Replica.Address);
+  return std::make_shared<net::ClientConnection>(
+      m_loop, m_clock, Replica.Address, Connections.Chunks);
 }
 
 void EndpointPool::release(const routing::ReplicaId &Replica,
--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -2,6 +2,7 @@
 #include "nutmegdrift/net/client_connection.h"
 
 #include <charconv>
+#include <utility>
 
 namespace nutmegdrift::net {
 
@@ -41,8 +42,10 @@
 }
 
 ClientConnection::ClientConnection(EventLoop &Loop, const Clock &Clk,
-                                   HostPort Peer)
-    : m_loop(Loop), m_clock(Clk), m_peer(std::move(Peer)) {}
+                                   HostPort Peer,
+                                   std::shared_ptr<SmallChunkLimit> Chunks)
+    : m_loop(Loop), m_clock(Clk), m_peer(std::move(Peer)),
+      m_chunks(std::move(Chunks)), m_chunkTimer(Loop) {}
 
 ClientConnection::~ClientConnection() { close(); }
 
@@ -76,26 +79,70 @@
 }
 
 void ClientConnection::pauseReading() {
-  if (m_stream)
-    m_stream->pauseReading();
+  m_paused = true;
+  updateReading();
 }
 
 void ClientConnection::resumeReading() {
-  if (m_stream)
+  m_paused = false;
+  updateReading();
+}
+
+void ClientConnection::updateReading() {
+  if (!m_stream)
+    return;
+  if (m_paused || m_chunkTimer.armed())
+    m_stream->pauseReading();
+  else
     m_stream->resumeReading();
 }
 
+void ClientConnection::addBody(std::string_view Part) {
+  if (m_bodyPart.empty()) {
+    m_bodyPart = Part;
+    return;
+  }
+  if (m_joinedBody.empty())
+    m_joinedBody = m_bodyPart;
+  m_joinedBody.append(Part);
+}
+
+void ClientConnection::passBodyOn() {
+  const std::string_view Part = std::exchange(m_bodyPart, {});
+  const std::string Joined = std::exchange(m_joinedBody, {});
+  if (!Part.empty() && m_events.OnBody)
+    m_events.OnBody(Joined.empty() ? Part : std::string_view(Joined));
+}
+
+void ClientConnection::limitChunks() {
+  const std::size_t Count = std::exchange(m_smallChunks, 0);
+  if (Count == 0 || !m_chunks)
+    return;
+  const Duration Pause = m_chunks->add(Count, m_clock.now());
+  if (Pause <= Duration{0})
+    return;
+  m_chunkTimer.callAfter(Pause, [this] { updateReading(); });
+  updateReading();
+}
+
 void ClientConnection::startAnswer() {
   m_answerMatches = false;
   m_unread.clear();
+  m_bodyPart = {};
+  m_joinedBody.clear();
   m_reader = std::make_unique<AnswerReader>(
       AnswerReader::Events{
           .OnHead =
               [this](HttpAnswerHead Head) { onAnswerHead(std::move(Head)); },
           .OnBody =
               [this](std::string_view Body) {
-                if (m_answerMatches && m_busy && m_events.OnBody)
-                  m_events.OnBody(Body);
+                if (m_answerMatches && m_busy)
+                  addBody(Body);
+              },
+          .OnChunk =
+              [this](std::uint64_t Length) {
+                if (Length < SmallChunkLimit::SmallBytes)
+                  ++m_smallChunks;
               }},
       m_headOnly);
 }
@@ -135,6 +182,8 @@
   while (!Data.empty() && m_busy) {
     const std::size_t Used = m_reader->put(Data);
     Data.remove_prefix(Used);
+    passBodyOn();
+    limitChunks();
     if (!m_busy)
       return;
     if (!m_answerMatches)
--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -191,7 +191,10 @@
     Callbacks.OnBody({Body.data(), Body.size()});
     return Body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {}
+  void on_chunk_header_impl(std::uint64_t Length, Text, ErrorCode &) override {
+    if (Callbacks.OnChunk)
+      Callbacks.OnChunk(Length);
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, Text Body,
                                  ErrorCode &) override {
     Callbacks.OnBody({Body.data(), Body.size()});
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -311,6 +311,90 @@
   EXPECT_EQ(Failure, ClientFailure::Closed);
 }
 
+// Each chunk was passed on by itself, with a write to the caller: one-byte
+// chunks without end took the event loop from all other requests.
+TEST_F(ClientFixture, ChunksThatArriveTogetherArePassedOnTogether) {
+  std::string Chunks;
+  for (int I = 0; I < 1000; ++I)
+    Chunks += "1\r\nx\r\n";
+  Server.OnRequest = [&] {
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: "
+                          "chunked\r\n\r\n" +
+                          Chunks + "0\r\n\r\n");
+  };
+  int Parts = 0;
+  ClientConnection::Events Counting = events();
+  Counting.OnBody = [&](std::string_view Part) {
+    ++Parts;
+    Body.append(Part);
+  };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, Counting);
+  run();
+  EXPECT_TRUE(Ended);
+  EXPECT_EQ(Body, std::string(1000, 'x'));
+  EXPECT_LE(Parts, 2);
+}
+
+TEST(SmallChunkLimit, BoundsTheRateOfAllConnectionsTogether) {
+  SmallChunkLimit Limit;
+  ManualClock Clk;
+  std::size_t Read = 0;
+  const TimePoint Start = Clk.now();
+  constexpr auto Length = 10s;
+  while (Clk.now() - Start < Length) {
+    constexpr std::size_t Arrived = 5000;
+    Read += Arrived;
+    if (const Duration Pause = Limit.add(Arrived, Clk.now());
+        Pause > Duration{0})
+      Clk.advance(Pause);
+  }
+  const double Allowed =
+      SmallChunkLimit::PerSecond * Length.count() + SmallChunkLimit::Burst;
+  EXPECT_GT(static_cast<double>(Read), 0.9 * Allowed);
+  EXPECT_LT(static_cast<double>(Read), 1.1 * Allowed);
+}
+
+// An engine at the target size must never be slowed down.
+TEST(SmallChunkLimit, NeverPausesAnEngineWithAChunkForEachToken) {
+  SmallChunkLimit Limit;
+  ManualClock Clk;
+  for (int Step = 0; Step < 1000; ++Step) {
+    EXPECT_LE(Limit.add(90, Clk.now()), Duration{0});
+    Clk.advance(30ms);
+  }
+}
+
+TEST_F(ClientFixture, SmallChunksWithoutEndAreReadAtABoundedRate) {
+  auto Chunks = std::make_shared<SmallChunkLimit>();
+  Client =
+      std::make_shared<ClientConnection>(Loop, Clk, Server.address(), Chunks);
+  std::string Piece;
+  for (int I = 0; I < 4000; ++I)
+    Piece += "1\r\nx\r\n";
+  Timer Next(Loop);
+  std::function<void()> Write = [&] {
+    if (Server.stream().unsentBytes() == 0)
+      Server.stream().write(Piece);
+    Next.callAfter(1ms, Write);
+  };
+  Server.OnRequest = [&] {
+    Server.stream().write("HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: "
+                          "chunked\r\n\r\n");
+    Write();
+  };
+  Client->send("GET / HTTP/1.1\r\n\r\n", 1s, events());
+  const TimePoint Start = Clk.now();
+  Loop.run_for(1500ms);
+  const std::chrono::duration<double> Lasted = Clk.now() - Start;
+  // One read may exceed the limit.
+  constexpr double OneTurn = 128.0 * 1024 / 6;
+  EXPECT_LT(static_cast<double>(Body.size()),
+            SmallChunkLimit::Burst +
+                SmallChunkLimit::PerSecond * Lasted.count() + OneTurn);
+  EXPECT_GT(Body.size(), std::size_t{10000});
+  Client->close();
+}
+
 // Reading was paused for a slow caller in the same read that ended the answer.
 // The connection was used again, and its next answer was never read.
 TEST_F(ClientFixture, AConnectionPausedAtTheEndOfAnAnswerReadsTheNextOne) {
