Count an unfinished plain answer at the deadline as its replica's failure

A replica whose answers begin at once and never end kept getting its share of the requests; each waited for its deadline.

Cause: Call::onDeadline() called the replica unresponsive only if it had sent no head. With a head, the attempt counted as abandoned by the daemon.

Change: a request on a route without streams, whose answer was read without a pause for a slow caller, makes its replica unresponsive too.

Ruled out: the same for streams, whose length may exceed the caller's deadline.

--- a/src/nutmegdrift/gateway/broken_replica_test.cpp
+++ b/src/nutmegdrift/gateway/broken_replica_test.cpp
@@ -508,6 +508,30 @@
   EXPECT_FALSE(Only.Exchanges.back()->open());
 }
 
+// A replica whose answers begin at once and never end got its share of all
+// requests for ever, unlike one that doesn't answer at all.
+TEST_F(BrokenReplica, AReplicaWhoseAnswersNeverEndIsAvoidedLikeASilentOne) {
+  RouteTimeout = 400ms;
+  apply(2);
+  replica(answerDone);
+  const auto RequestsTo = [&](const RawReply &Reply) {
+    auto &Faulty = rawReplica([&](const std::string &Request) {
+      RawReply Own = Reply;
+      if (!Own.Endless.empty())
+        Own.Bytes = headOf(Request) + "Transfer-Encoding: chunked\r\n\r\n";
+      return Own;
+    });
+    for (int I = 0; I < 20; ++I)
+      call("/safe/x");
+    Daemon->state().Replicas.remove("raw" + std::to_string(RawReplicas.size()),
+                                    std::nullopt);
+    Daemon->replicasChanged();
+    return Faulty.Requests;
+  };
+  const int Silent = RequestsTo({});
+  EXPECT_LE(RequestsTo({.Endless = "1\r\nx\r\n"}), Silent + 1);
+}
+
 // A slow stream whose events keep coming was cut.
 TEST_F(BrokenReplica, ASlowStreamIsServedToItsEnd) {
   constexpr int Events = 20;
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -578,17 +578,20 @@
     return;
   if (m_connection) {
     m_mayHaveRun = true;
-    const bool NoHead = !m_head;
+    // The caller of a plain answer that was read without a pause waited for
+    // the replica only.
+    const bool Unresponsive =
+        !m_head || (!routing::isStream(m_route->Kind) && m_reading);
     const routing::ReplicaId Replica = m_replica;
     m_env.Log.line(LogClass::Request, "request.timed_out",
                    {{"request", m_metadata.Id},
                     {"route", m_route->Name},
                     {"replica", Replica},
-                    {"answer_begun", NoHead ? "no" : "yes"},
+                    {"answer_begun", m_head ? "yes" : "no"},
                     {"body_bytes", std::to_string(m_bodyBytes)},
                     {"sent_ms_ago", millisText(m_env.Clk.now() - m_sentAt)}});
-    releaseReplica(NoHead ? ReplicaOutcome::Unresponsive
-                          : ReplicaOutcome::Abandoned);
+    releaseReplica(Unresponsive ? ReplicaOutcome::Unresponsive
+                                : ReplicaOutcome::Abandoned);
     answerError({ErrorKind::EndpointTimeout,
                  "no complete answer of " + Replica + " before the deadline"});
     return;
