Keep the body of a request in memory once

A body was copied for each attempt, again into the message, and again into the output buffer of the replica's connection: 40 bodies of 4 MB took 245 MB.

The connection to the replica now sends a body above 16 KB from the request itself, which it keeps alive; shorter ones are copied once, so that they leave in one write with their header.

--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -49,7 +49,11 @@
   void pauseReading() { m_paused = true; }
   void resumeReading();
   void write(std::string_view Bytes);
-  [[nodiscard]] std::size_t unsentBytes() const { return m_out.size(); }
+  /// Writes Bytes and then Body, which is not copied.
+  void write(std::string_view Bytes, std::shared_ptr<const std::string> Body);
+  [[nodiscard]] std::size_t unsentBytes() const {
+    return m_out.size() + (m_body ? m_body->size() - m_bodySent : 0);
+  }
   [[nodiscard]] bool open() const { return m_listener && m_connected; }
   /// Whether the peer has closed the connection and all its bytes have been
   /// read, even if the loop has not processed the end yet.
@@ -83,6 +87,8 @@
   /// Null once closed; operations then have no effect.
   Listener *m_listener;
   std::string m_out; ///< Bytes passed to write() and not yet sent.
+  std::shared_ptr<const std::string> m_body{}; ///< Sent after m_out, or null.
+  std::size_t m_bodySent = 0;
   BufferBudget::Share m_outShare;
   bool m_connected = false;
   /// A write or a look at the socket reported that the connection is lost. The
--- a/include/nutmegdrift/net/client_connection.h
+++ b/include/nutmegdrift/net/client_connection.h
@@ -52,8 +52,10 @@
 
   /// Sends a request and connects first if needed. Must not be called while
   /// busy().
+  /// Body, if any, is sent after Bytes and not copied.
   void send(const std::string &Bytes, Duration ConnectTimeout, Events Callbacks,
-            bool HeadOnly = false);
+            bool HeadOnly = false,
+            std::shared_ptr<const std::string> Body = nullptr);
   /// Closes without further callbacks.
   void close();
   /// Whether a request is in progress.
--- a/include/nutmegdrift/net/http_message.h
+++ b/include/nutmegdrift/net/http_message.h
@@ -97,6 +97,18 @@
   [[nodiscard]] HttpParseError error() const;
   /// Whether the sender waits for "100 Continue".
   [[nodiscard]] bool expectsContinue() const;
+  /// The fields of the header, once headerDone().
+  [[nodiscard]] const HeaderList &headers() const;
+  /// Memory of the request: what it has, or the announced length of its body
+  /// if that is more.
+  [[nodiscard]] std::size_t heldBytes() const;
+  /// Bytes of the body that were received.
+  [[nodiscard]] std::size_t bodyBytes() const;
+  /// Allocates the announced length, so that the body isn't copied as it grows.
+  void reserveBody();
+  /// Whether chunks are so small that their number and not their bytes takes
+  /// the time.
+  [[nodiscard]] bool sendsSmallChunks() const;
   HttpRequest take();
 
 private:
@@ -140,6 +152,8 @@
 
 /// The bytes of a request, with Content-Length if its method allows a body.
 std::string serialise(const HttpRequest &Request);
+/// The same up to the body, which has this many bytes.
+std::string serialiseHead(const HttpRequest &Request, std::size_t BodyBytes);
 
 /// The bytes of an answer's head. Framing fields are added by the caller.
 std::string serialiseHead(int Status, const HeaderList &Headers);
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -22,6 +22,8 @@
 constexpr double ConnectionLimitShare = 0.8;
 /// Longer answers are forwarded before they are complete.
 constexpr std::size_t MaxHeldAnswerBytes = std::size_t{1} << 20U;
+/// Bodies up to this size are copied, so that they leave with their header.
+constexpr std::size_t MaxCopiedBodyBytes = std::size_t{16} * 1024;
 /// While a slow caller has more unsent bytes, its replica's answer isn't read.
 constexpr std::size_t MaxUnsentBytes = std::size_t{256} * 1024;
 /// A replica that sends no answer head within the response timeout counts as
@@ -154,11 +156,17 @@
            .Deadline = std::max(remainingTime(), Milliseconds(1)),
            .Workspace = m_workspace,
            .ResumeAfter = m_resumeAfter,
-           .FetchFrom = FetchFrom}),
-      .Body = Received.Body};
+           .FetchFrom = FetchFrom})};
+  std::string Head = net::serialiseHead(Out, Received.Body.size());
+  // A large body stays where it is, in the exchange.
+  std::shared_ptr<const std::string> Body;
+  if (Received.Body.size() <= MaxCopiedBodyBytes)
+    Head += Received.Body;
+  else
+    Body = {m_exchange, &Received.Body};
   const auto Self = shared_from_this();
   m_connection->send(
-      net::serialise(Out), ConnectTimeout,
+      Head, ConnectTimeout,
       {.Accept =
            [Self](const net::HttpAnswerHead &Head) {
              return Self->m_env.Headers.readAnswer(Head).Id ==
@@ -170,7 +178,7 @@
        .OnEnd = [Self] { Self->onEnd(); },
        .OnFailure =
            [Self](ClientFailure Failure) { Self->onFailure(Failure); }},
-      Received.Method == "HEAD");
+      Received.Method == "HEAD", std::move(Body));
   Duration ResponseTimeout = ModelResponseTimeout;
   if (!m_placementKey) {
     const auto Target = m_route->FirstByteTarget.count() > 0
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -72,7 +73,7 @@
         Self->m_connected = true;
         Self->m_listener->onConnected();
         Self->startReading();
-        if (!Self->m_out.empty())
+        if (Self->unsentBytes() > 0)
           Self->flush();
       });
 }
@@ -129,10 +130,16 @@
   startReading();
 }
 
-void ByteStream::write(std::string_view Bytes) {
+void ByteStream::write(std::string_view Bytes) { write(Bytes, nullptr); }
+
+void ByteStream::write(std::string_view Bytes,
+                       std::shared_ptr<const std::string> Body) {
   if (!m_listener)
     return;
-  const bool WasEmpty = m_out.empty();
+  const bool WasEmpty = unsentBytes() == 0;
+  if (const auto Before = std::exchange(m_body, std::move(Body)))
+    m_out.append(*Before, m_bodySent);
+  m_bodySent = 0;
   m_out.append(Bytes);
   if (m_connected && WasEmpty)
     flush();
@@ -141,11 +148,18 @@
 
 void ByteStream::flush() {
   auto Self = shared_from_this();
-  std::size_t Sent = 0;
-  while (Sent < m_out.size()) {
+  std::size_t Sent = 0; // Of m_out.
+  while (Sent < unsentBytes()) {
     boost::system::error_code Failed;
-    const std::size_t Written = m_socket.write_some(
-        boost::asio::buffer(m_out.data() + Sent, m_out.size() - Sent), Failed);
+    const boost::asio::const_buffer First =
+        boost::asio::buffer(m_out) + std::min(Sent, m_out.size());
+    std::size_t Written = 0;
+    if (m_body)
+      Written = m_socket.write_some(
+          std::array{First, boost::asio::buffer(*m_body) + m_bodySent}, Failed);
+    else
+      Written =
+          m_socket.write_some(boost::asio::const_buffers_1(First), Failed);
     if (Failed == boost::asio::error::would_block ||
         Failed == boost::asio::error::try_again)
       break;
@@ -155,19 +169,23 @@
       // EPIPE alone means that the peer closed in order before it reset.
       m_lost = m_lost || Failed != boost::asio::error::broken_pipe;
       std::string().swap(m_out);
+      m_body.reset();
       m_outShare.hold(0);
       m_finishing = false;
       return;
     }
-    Sent += Written;
+    const std::size_t OfOut = std::min(Written, m_out.size() - Sent);
+    Sent += OfOut;
+    m_bodySent += Written - OfOut;
   }
   m_out.erase(0, Sent);
   m_outShare.hold(m_out.capacity());
-  if (!m_out.empty()) {
+  if (unsentBytes() > 0) {
     waitWritable();
     return;
   }
   std::string().swap(m_out);
+  m_body.reset();
   m_outShare.hold(0);
   shutdownWhenFlushed();
 }
@@ -183,7 +201,7 @@
         if (!Self->m_listener || Failed)
           return;
         Self->flush();
-        if (Self->m_listener && Self->m_out.empty())
+        if (Self->m_listener && Self->unsentBytes() == 0)
           Self->m_listener->onDrained();
       });
 }
@@ -214,7 +232,7 @@
 
 void ByteStream::finishWriting() {
   m_finishing = true;
-  if (m_out.empty())
+  if (unsentBytes() == 0)
     shutdownWhenFlushed();
 }
 
@@ -237,6 +255,7 @@
 
 void ByteStream::close() {
   m_listener = nullptr;
+  m_body.reset();
   m_connectTimer.cancel();
   boost::system::error_code Ignored;
   m_socket.close(Ignored);
--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -54,7 +54,8 @@
 ClientConnection::~ClientConnection() { close(); }
 
 void ClientConnection::send(const std::string &Bytes, Duration ConnectTimeout,
-                            Events Callbacks, bool HeadOnly) {
+                            Events Callbacks, bool HeadOnly,
+                            std::shared_ptr<const std::string> Body) {
   m_events = std::move(Callbacks);
   m_busy = true;
   m_headOnly = HeadOnly;
@@ -64,11 +65,11 @@
   startAnswer();
   if (!m_stream) {
     m_stream = std::make_shared<ByteStream>(m_loop, *this);
-    m_stream->write(Bytes);
+    m_stream->write(Bytes, std::move(Body));
     m_stream->connect(m_peer, ConnectTimeout);
     return;
   }
-  m_stream->write(Bytes);
+  m_stream->write(Bytes, std::move(Body));
 }
 
 void ClientConnection::close() {
--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -92,7 +92,7 @@
 
 // In both readers, the callbacks that are not needed have empty bodies.
 struct RequestReader::Impl final : http::basic_parser<true> {
-  explicit Impl(HttpLimits Limits) {
+  explicit Impl(HttpLimits Limits) : MaxBodyBytes(Limits.MaxBodyBytes) {
     eager(true);
     header_limit(Limits.MaxHeaderBytes);
     body_limit(Limits.MaxBodyBytes);
@@ -107,6 +107,7 @@
   }
   void on_response_impl(int, Text, int, ErrorCode &) override {}
   void on_field_impl(http::field, Text Name, Text Value, ErrorCode &) override {
+    HeaderBytes += sizeof(HeaderField) + Name.size() + Value.size();
     Request.Headers.add(std::string(Name), std::string(Value));
   }
   void on_header_impl(ErrorCode &) override {}
@@ -116,7 +117,9 @@
     Request.Body.append(Body.data(), Body.size());
     return Body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {}
+  void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {
+    ++Chunks;
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, Text Body,
                                  ErrorCode &) override {
     Request.Body.append(Body.data(), Body.size());
@@ -124,7 +127,10 @@
   }
   void on_finish_impl(ErrorCode &) override {}
 
+  const std::uint64_t MaxBodyBytes;
   HttpRequest Request;
+  std::size_t HeaderBytes = 0; ///< Memory of the fields.
+  std::size_t Chunks = 0;
   HttpParseError Error = HttpParseError::None;
 };
 
@@ -158,6 +164,36 @@
   return Expect && equalIgnoringCase(*Expect, "100-continue");
 }
 
+const HeaderList &RequestReader::headers() const {
+  return m_impl->Request.Headers;
+}
+
+std::size_t RequestReader::heldBytes() const {
+  const std::string &Body = m_impl->Request.Body;
+  // The pages of a string's capacity that it hasn't used aren't in memory.
+  std::size_t Bytes =
+      std::min(Body.capacity(),
+               std::max<std::size_t>(Body.size(), m_impl->MaxBodyBytes));
+  if (m_impl->is_header_done())
+    Bytes = std::max<std::size_t>(Bytes, m_impl->content_length().value_or(0));
+  return m_impl->HeaderBytes + Bytes;
+}
+
+std::size_t RequestReader::bodyBytes() const {
+  return m_impl->Request.Body.size();
+}
+
+void RequestReader::reserveBody() {
+  m_impl->Request.Body.reserve(m_impl->content_length().value_or(0));
+}
+
+bool RequestReader::sendsSmallChunks() const {
+  constexpr std::size_t MinChunks = 64;
+  constexpr std::size_t SmallChunkBytes = 64;
+  return m_impl->Chunks > MinChunks &&
+         m_impl->Request.Body.size() < m_impl->Chunks * SmallChunkBytes;
+}
+
 HttpRequest RequestReader::take() {
   m_impl->Request.KeepAlive = m_impl->keep_alive();
   return std::move(m_impl->Request);
@@ -235,14 +271,17 @@
 bool AnswerReader::keepAlive() const { return m_impl->keep_alive(); }
 
 std::string serialise(const HttpRequest &Request) {
+  return serialiseHead(Request, Request.Body.size()) + Request.Body;
+}
+
+std::string serialiseHead(const HttpRequest &Request, std::size_t BodyBytes) {
   std::string Out = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
   for (const HeaderField &Field : Request.Headers.all())
     Out += Field.Name + ": " + Field.Value + "\r\n";
   const bool MayHaveBody = Request.Method != "GET" && Request.Method != "HEAD";
-  if (MayHaveBody || !Request.Body.empty())
-    Out += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  if (MayHaveBody || BodyBytes > 0)
+    Out += "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
   Out += "\r\n";
-  Out += Request.Body;
   return Out;
 }
 
