Limit what all callers together keep in memory and connections

Each request was within its limits, and all together took five times the memory of the process; connections were closed only every half second, and only those without a byte.

net::CallerMemory (no I/O) counts connections, headers, bodies and unparsed bytes of one process. A body is read only with bytes reserved for it, at once for an announced length. Requests up to 64 KB always have a quarter of the limit; a workspace may have twice what its large requests leave free. If there are too few bytes, an unfinished body without progress gives way (408), else the request is refused (503), both before anything ran. Complete requests never give way. A listener with too many connections closes those that wait for a close, then those without a header, then idle ones.

Of small chunks 4 KB are parsed per turn of the loop. A refused connection is read for at most a second and the size of the largest body. An empty input buffer above 4 KB is freed.

The listeners for readiness, the directory and metrics get limits too, and read bodies of at most 64 KB.

--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -3,6 +3,7 @@
 #define NUTMEGDRIFT_GATEWAY_GATEWAY_H
 
 #include "nutmegdrift/gateway/call.h"
+#include "nutmegdrift/gateway/caller_limits.h"
 #include "nutmegdrift/gateway/loop_lag.h"
 
 namespace nutmegdrift::gateway {
@@ -89,6 +90,8 @@
   [[nodiscard]] double retryFloor();
   void updateRetryFloors();
   void applyLimits();
+  /// The workspace of a request, or nothing if it has no valid key.
+  [[nodiscard]] std::string ownerOf(const net::HeaderList &Headers) const;
 
   net::EventLoop &m_loop;
   const Clock &m_clock;
@@ -110,6 +113,7 @@
   Placement m_placement;
   std::map<std::string, policy::RetryBudget> m_budgets;
   CallEnvironment m_callEnvironment;
+  CallerLimits m_callerLimits;
   net::HttpServer m_front;
   net::HttpServer m_readiness;
   net::HttpServer m_directory;
--- a/include/nutmegdrift/gateway/gateway_metrics.h
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -11,6 +11,14 @@
 namespace nutmegdrift::gateway {
 
 /// Not thread-safe, like all other parts of a gateway.
+/// Requests and connections of callers that exceeded the limits.
+struct CallerLimitCounts {
+  std::uint64_t MemoryRefused = 0;
+  std::uint64_t MemoryGaveWay = 0;
+  std::uint64_t ConnectionsClosed = 0;
+  std::uint64_t ConnectionsNotAccepted = 0;
+};
+
 class GatewayMetrics {
 public:
   GatewayMetrics();
@@ -34,6 +42,8 @@
   void logLinesSuppressed(double Count);
   /// A replica crashed while requests of this daemon ran on it.
   void replicaCrashed();
+  /// Adds to the counts of what limits of callers have refused or ended.
+  void callerLimits(const CallerLimitCounts &Since);
   /// A callback of the event loop failed with an exception.
   void unexpectedError();
 
--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -39,6 +39,19 @@
                          const GatewayBounds &) = default;
 };
 
+/// What callers together may use of the machine.
+struct CallerShares {
+  /// Of the memory, for requests and connections. Replicas' bytes have a
+  /// quarter, and the rest is for the process itself and its allocator.
+  double MemoryShare = 0.4;
+  /// Of the descriptors, for connections to the listener for requests.
+  double ConnectionShare = 0.7;
+  /// See net::CallerMemory::Options.
+  Milliseconds StallTime{1000};
+
+  friend bool operator==(const CallerShares &, const CallerShares &) = default;
+};
+
 struct GatewaySettings {
   DaemonName Name;
   std::string Zone;
@@ -55,6 +68,7 @@
   double ProcessorShare = 1.0;
   unsigned MemoryMegabytes = 256;
   unsigned Descriptors = 1024;
+  CallerShares Callers;
   GatewayBounds Bounds;
   routing::DispatcherOptions Dispatch;
 
--- a/include/nutmegdrift/net/http_server.h
+++ b/include/nutmegdrift/net/http_server.h
@@ -3,6 +3,7 @@
 #define NUTMEGDRIFT_NET_HTTP_SERVER_H
 
 #include "nutmegdrift/net/byte_stream.h"
+#include "nutmegdrift/net/caller_memory.h"
 #include "nutmegdrift/net/http_message.h"
 #include "nutmegdrift/net/tcp_listener.h"
 
@@ -16,8 +17,10 @@
 /// after the caller disconnected have no effect.
 class ServerExchange {
 public:
-  explicit ServerExchange(HttpRequest Request, TimePoint Received)
-      : m_request(std::move(Request)), m_received(Received) {}
+  ServerExchange(HttpRequest Request, TimePoint Received,
+                 std::shared_ptr<CallerMemory> Memory)
+      : m_request(std::move(Request)), m_received(Received),
+        m_memory(std::move(Memory)) {}
 
   [[nodiscard]] HttpRequest &request() { return m_request; }
   [[nodiscard]] TimePoint received() const { return m_received; }
@@ -50,6 +53,7 @@
 
   HttpRequest m_request;
   const TimePoint m_received;
+  CallerMemory::Share m_memory; ///< Of the request.
   std::weak_ptr<ServerConnection> m_connection;
   bool m_begun = false;
   bool m_chunked = false;
@@ -62,10 +66,19 @@
   Duration HeaderTimeout = std::chrono::seconds(3);
   /// From the end of a header to the end of the request.
   Duration RequestTimeout = std::chrono::seconds(20);
-  /// Between requests.
+  /// Between requests. Also the time after which a caller that reads nothing
+  /// of an answer is disconnected.
   Duration IdleTimeout = std::chrono::seconds(15);
 };
 
+/// What callers together may use of a process.
+struct SharedCallerLimits {
+  std::shared_ptr<CallerMemory> Memory{}; ///< Null: not limited.
+  /// Whose share of the memory a request counts towards.
+  std::function<std::string(const HeaderList &)> OwnerOf{};
+  std::size_t MaxConnections = SIZE_MAX;
+};
+
 /// Accepts connections and passes each request to a handler.
 class HttpServer {
 public:
@@ -78,6 +91,10 @@
   void setBudget(std::shared_ptr<BufferBudget> Unsent) {
     m_budget = std::move(Unsent);
   }
+  /// Applies to connections accepted from now on.
+  void setSharedLimits(SharedCallerLimits Limits) {
+    m_shared = std::move(Limits);
+  }
   /// False if the address can't be bound.
   bool listen(const HostPort &Address) { return m_listener.listen(Address); }
   void setOptions(const HttpServerOptions &Options) { m_options = Options; }
@@ -92,9 +109,12 @@
   [[nodiscard]] bool quiet() const;
   /// Calls OnStopping of each request in progress.
   void endRequests();
-  /// Closes connections without a request in progress, longest idle first,
-  /// until at most MaxConnections remain.
+  /// Closes connections without a request in progress until at most
+  /// MaxConnections remain, in the order of chooseConnectionsToClose().
   void closeIdleAbove(std::size_t MaxConnections);
+  /// Connections that were closed or not accepted because there were too many.
+  [[nodiscard]] std::uint64_t closedForOthers() const { return m_closed; }
+  [[nodiscard]] std::uint64_t notAccepted() const { return m_notAccepted; }
   [[nodiscard]] bool draining() const { return m_draining; }
   [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
   [[nodiscard]] std::size_t activeRequests() const { return m_active; }
@@ -104,14 +124,20 @@
 private:
   friend class ServerConnection;
 
+  void accept(TcpSocket Socket);
+
   EventLoop &m_loop;
   const Clock &m_clock;
   Handler m_handler;
   HttpServerOptions m_options;
   std::shared_ptr<BufferBudget> m_budget; ///< Null: none.
+  SharedCallerLimits m_shared;
   TcpListener m_listener;
   std::set<std::shared_ptr<ServerConnection>> m_connections;
   std::size_t m_active = 0;
+  std::uint64_t m_closed = 0;
+  std::uint64_t m_notAccepted = 0;
+  std::uint64_t m_retryTurn = 0;
   bool m_draining = false;
 };
 
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -31,6 +31,13 @@
 /// for requests, connections, the fleet's state, and what the allocator keeps.
 constexpr double BufferMemoryShare = 0.25;
 
+/// Share of the descriptors for each listener that isn't for requests. Callers
+/// ask the directory every two seconds and close, so this is 96 at once on the
+/// smallest machines.
+constexpr double OtherListenerShare = 1.0 / 32;
+/// Requests to these listeners have no body that is read.
+constexpr std::uint64_t MaxOtherBodyBytes = std::uint64_t{64} * 1024;
+
 std::size_t bufferBytes(const GatewaySettings &Settings) {
   constexpr double Megabyte = 1024.0 * 1024.0;
   return static_cast<std::size_t>(Settings.MemoryMegabytes * Megabyte *
@@ -122,6 +129,7 @@
                         .Daemons = [this] { return daemons(); },
                         .RetryFloor = [this] { return retryFloor(); },
                         .Started = Clk.now()},
+      m_callerLimits(m_settings),
       m_front(Loop, Clk,
               [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
                 onRequest(Exchange);
@@ -145,6 +153,13 @@
 
 Result<void> Gateway::start() {
   m_front.setBudget(m_buffers);
+  m_front.setSharedLimits(m_callerLimits.front(
+      [this](const net::HeaderList &Headers) { return ownerOf(Headers); }));
+  for (net::HttpServer *Server :
+       {&m_readiness, &m_directory, &m_metricsServer}) {
+    Server->setSharedLimits(m_callerLimits.other(OtherListenerShare));
+    Server->setOptions({.Limits = {.MaxBodyBytes = MaxOtherBodyBytes}});
+  }
   const std::pair<net::HttpServer *, const HostPort *> Listeners[] = {
       {&m_front, &m_settings.Front},
       {&m_readiness, &m_settings.Readiness},
@@ -239,6 +254,14 @@
   std::make_shared<Call>(m_callEnvironment, Exchange)->start();
 }
 
+std::string Gateway::ownerOf(const net::HeaderList &Headers) const {
+  const auto Metadata = capture([&] { return m_headers.readRequest(Headers); });
+  const std::string *Workspace = Metadata && m_state.Table
+                                     ? m_state.Table->workspaceOf(Metadata->Key)
+                                     : nullptr;
+  return Workspace ? *Workspace : std::string();
+}
+
 void Gateway::onReadiness(net::ServerExchange &Exchange) {
   const std::string_view Target = Exchange.request().Target;
   if (Target.substr(0, Target.find('?')) != m_headers.readinessPath()) {
@@ -502,6 +525,7 @@
     m_front.closeIdleAbove(
         static_cast<std::size_t>(MaxCallerDescriptorShare *
                                  static_cast<double>(m_settings.Descriptors)));
+    m_callerLimits.sweep(m_front, m_log, m_metrics);
   }
   if (m_state.Stopping)
     checkStopped();
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -50,6 +50,14 @@
   prometheus::Counter &Resumed = Events.Add({{"event", "stream-resumed"}});
   prometheus::Counter &Crashes = Events.Add({{"event", "replica-crash"}});
   prometheus::Counter &Unexpected = Events.Add({{"event", "unexpected-error"}});
+  prometheus::Counter &MemoryRefused =
+      Events.Add({{"event", "caller-memory-refused"}});
+  prometheus::Counter &MemoryGaveWay =
+      Events.Add({{"event", "caller-memory-gave-way"}});
+  prometheus::Counter &ConnectionsClosed =
+      Events.Add({{"event", "caller-connection-closed"}});
+  prometheus::Counter &ConnectionsNotAccepted =
+      Events.Add({{"event", "caller-connection-not-accepted"}});
   prometheus::Counter &StoreSuccesses = Events.Add({{"event", "store-call"}});
   prometheus::Counter &StoreFailures =
       Events.Add({{"event", "store-call-failed"}});
@@ -112,6 +120,15 @@
 }
 
 void GatewayMetrics::replicaCrashed() { m_impl->Crashes.Increment(); }
+void GatewayMetrics::callerLimits(const CallerLimitCounts &Since) {
+  m_impl->MemoryRefused.Increment(static_cast<double>(Since.MemoryRefused));
+  m_impl->MemoryGaveWay.Increment(static_cast<double>(Since.MemoryGaveWay));
+  m_impl->ConnectionsClosed.Increment(
+      static_cast<double>(Since.ConnectionsClosed));
+  m_impl->ConnectionsNotAccepted.Increment(
+      static_cast<double>(Since.ConnectionsNotAccepted));
+}
+
 void GatewayMetrics::unexpectedError() { m_impl->Unexpected.Increment(); }
 
 std::string GatewayMetrics::text() const {
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -54,6 +54,18 @@
       std::clamp(positiveNumber(Parent, Name, Default), 1.0, MaxCount));
 }
 
+CallerShares parseCallers(const YAML::Node &Node) {
+  const CallerShares Default;
+  if (!Node)
+    return Default;
+  return {.MemoryShare =
+              positiveNumber(Node, "memory_share", Default.MemoryShare),
+          .ConnectionShare =
+              positiveNumber(Node, "connection_share", Default.ConnectionShare),
+          .StallTime =
+              durationIn(Node, "stall_ms", MillisecondUnit, Default.StallTime)};
+}
+
 GatewaySettings parseRoot(const YAML::Node &Root) {
   if (!Root.IsMap())
     throw BadSetting{"settings: not a map"};
@@ -75,6 +87,7 @@
       .ProcessorShare = positiveNumber(Root, "processor_share", 1.0),
       .MemoryMegabytes = countOf(Root, "memory_mb", 256),
       .Descriptors = countOf(Root, "descriptors", 1024),
+      .Callers = parseCallers(Root["callers"]),
       .Bounds = parseBounds(Root["bounds"]),
       .Dispatch = parseDispatcherOptions(Root["dispatch"]),
   };
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -1,5 +1,6 @@
 // Connections of callers and their exchanges.
 #include "nutmegdrift/net/http_server.h"
+#include "nutmegdrift/net/connection_limit.h"
 
 #include <algorithm>
 #include <charconv>
@@ -10,6 +11,20 @@
 
 /// Pipelined bytes buffered while a request is in progress.
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
+/// Memory of a connection without its buffers: the connection, its reader and
+/// their timers.
+constexpr std::size_t ConnectionBytes = std::size_t{4} * 1024;
+/// An empty input buffer with a larger capacity is freed.
+constexpr std::size_t MaxIdleBufferBytes = std::size_t{4} * 1024;
+/// Bytes of small chunks that are parsed before the loop serves others: some
+/// 700 chunks, which take about as long as one ordinary request.
+constexpr std::size_t SmallChunkSlice = std::size_t{4} * 1024;
+/// Connections above the limit are closed in groups of this part of it, because
+/// the choice looks at all of them.
+constexpr std::size_t CloseGroups = 16;
+/// Seconds of Retry-After, in turn, so that callers refused together do not
+/// return together.
+constexpr std::uint64_t MaxRetryAfter = 3;
 /// Time for a caller to read the last answer before its connection is closed.
 constexpr Duration LingerTime = std::chrono::seconds(1);
 
@@ -22,7 +37,10 @@
   ServerConnection(HttpServer &Server, TcpSocket Socket)
       : m_server(Server), m_stream(std::make_shared<ByteStream>(
                               std::move(Socket), *this, Server.m_budget)),
-        m_timer(Server.m_loop) {}
+        m_timer(Server.m_loop), m_memory(Server.m_shared.Memory) {
+    m_memory.keep(ConnectionBytes);
+    m_memory.OnGiveWay = [this] { timedOut(); };
+  }
   ~ServerConnection() override { m_stream->close(); }
 
   void start() {
@@ -33,15 +51,21 @@
 
   void onData(std::string_view Data) override {
     auto Self = shared_from_this();
-    if (m_lingering)
+    if (m_lingering) {
+      m_dropped += Data.size();
+      if (m_dropped > m_server.m_options.Limits.MaxBodyBytes)
+        m_stream->pauseReading();
       return;
+    }
     m_in.append(Data);
     if (m_exchange) {
-      if (m_in.size() > MaxPipelinedBytes)
+      if (m_in.size() > MaxPipelinedBytes ||
+          !m_memory.reserve(ConnectionBytes + m_in.size(), 0, m_server.m_clock))
         m_stream->pauseReading();
       return;
     }
-    parse();
+    if (!m_sliced)
+      parse();
   }
 
   void onDrained() override {
@@ -55,6 +79,7 @@
     auto Self = shared_from_this();
     m_stream->close();
     m_timer.cancel();
+    m_memory.release();
     m_server.m_connections.erase(Self);
     if (auto Exchange = std::move(m_exchange)) {
       --m_server.m_active;
@@ -75,14 +100,28 @@
   }
 
   [[nodiscard]] bool idle() const {
-    return !m_exchange && !m_requestStarted && m_in.empty() &&
-           !m_stream->hasUnreadBytes();
+    const ConnectionUse Use = state().Use;
+    return (Use == ConnectionUse::Idle || Use == ConnectionUse::Unknown) &&
+           !m_requestStarted && !m_stream->hasUnreadBytes();
   }
   [[nodiscard]] bool lingering() const { return m_lingering; }
+  [[nodiscard]] ConnectionState state() const {
+    ConnectionUse Use = m_served ? ConnectionUse::Idle : ConnectionUse::Unknown;
+    if (m_exchange)
+      Use = ConnectionUse::Busy;
+    else if (m_lingering)
+      Use = ConnectionUse::Ending;
+    else if (m_requestStarted ? m_served || m_reader->headerDone()
+                              : !m_in.empty())
+      Use = ConnectionUse::Busy;
+    return {.Use = Use, .Since = m_idleSince};
+  }
+  [[nodiscard]] bool hasUnreadBytes() const {
+    return !m_lingering && m_stream->hasUnreadBytes();
+  }
   [[nodiscard]] std::shared_ptr<ServerExchange> exchange() const {
     return m_exchange;
   }
-  [[nodiscard]] TimePoint idleSince() const { return m_idleSince; }
   [[nodiscard]] bool closeAfterAnswer() const {
     return m_server.m_draining || !m_keepAlive;
   }
@@ -128,9 +167,48 @@
 
   void waitIdle() {
     m_idleSince = m_server.m_clock.now();
+    m_memory.keep(ConnectionBytes);
     m_timer.callAfter(m_server.m_options.IdleTimeout, [this] { drop(); });
   }
 
+  /// Reserves the memory of the request that is being received.
+  bool reserve() {
+    const std::size_t Bytes =
+        ConnectionBytes + m_in.size() + m_reader->heldBytes();
+    if (Bytes > CallerMemory::SmallBytes && m_reader->headerDone() &&
+        m_memory.bytes() <= CallerMemory::SmallBytes &&
+        m_server.m_shared.OwnerOf)
+      m_memory.setOwner(m_server.m_shared.OwnerOf(m_reader->headers()));
+    return m_memory.reserve(Bytes, m_reader->bodyBytes(), m_server.m_clock);
+  }
+
+  /// Passes bytes to the reader. Of small chunks only a part is read, and the
+  /// loop serves others before the rest.
+  void readInput() {
+    std::string_view Slice = m_in;
+    if (m_reader->sendsSmallChunks())
+      Slice = Slice.substr(0, SmallChunkSlice);
+    std::size_t Used = m_reader->put(Slice);
+    if (Used == 0 && Slice.size() < m_in.size())
+      Used = m_reader->put(m_in);
+    m_sliced = Used > 0 && Slice.size() < m_in.size();
+    m_in.erase(0, Used);
+    if (m_in.empty() && m_in.capacity() > MaxIdleBufferBytes)
+      std::string().swap(m_in);
+  }
+
+  void readRestLater() {
+    m_stream->pauseReading();
+    boost::asio::post(m_server.m_loop, [Self = shared_from_this()] {
+      Self->m_sliced = false;
+      if (!Self->m_stream->open() || Self->m_lingering)
+        return;
+      Self->parse();
+      if (!Self->m_sliced && !Self->m_lingering)
+        Self->m_stream->resumeReading();
+    });
+  }
+
   void parse() {
     if (m_in.empty())
       return;
@@ -140,22 +218,28 @@
                         [this] { timedOut(); });
     }
     const bool HadHeader = m_reader->headerDone();
-    const std::size_t Used = m_reader->put(m_in);
-    m_in.erase(0, Used);
+    readInput();
     if (m_reader->error() != HttpParseError::None) {
       reject();
       return;
     }
-    if (m_reader->done()) {
-      dispatch();
+    if (!m_sliced && !m_reader->done() && m_in.size() > MaxUnparsedBytes) {
+      sendError(400, "malformed request\n");
       return;
     }
-    if (m_in.size() > MaxUnparsedBytes) {
-      sendError(400, "malformed request\n");
+    if (!reserve()) {
+      sendError(503, "too little memory for this request\n");
+      return;
+    }
+    if (m_reader->done()) {
+      dispatch();
       return;
     }
+    if (m_sliced)
+      readRestLater();
     if (HadHeader || !m_reader->headerDone())
       return;
+    m_reader->reserveBody();
     m_timer.callAfter(m_server.m_options.RequestTimeout,
                       [this] { timedOut(); });
     if (m_reader->expectsContinue() && !m_continued) {
@@ -167,10 +251,16 @@
   void dispatch() {
     auto Self = shared_from_this();
     m_timer.cancel();
+    m_sliced = false;
+    m_served = true;
+    const std::size_t Bytes = m_reader->heldBytes();
     HttpRequest Request = m_reader->take();
     m_keepAlive = Request.KeepAlive;
-    m_exchange = std::make_shared<ServerExchange>(std::move(Request),
-                                                  m_server.m_clock.now());
+    m_exchange = std::make_shared<ServerExchange>(
+        std::move(Request), m_server.m_clock.now(), m_server.m_shared.Memory);
+    m_memory.keep(ConnectionBytes);
+    m_exchange->m_memory.setOwner(m_memory.owner());
+    m_exchange->m_memory.keep(Bytes);
     m_exchange->m_connection = weak_from_this();
     ++m_server.m_active;
     // The handler may answer immediately, which resets m_exchange.
@@ -199,19 +289,26 @@
   }
 
   void sendError(int Status, std::string_view Text) {
-    m_stream->write(serialiseHead(
-        Status, {{"Connection", "close"},
-                 {"Content-Type", "text/plain"},
-                 {"Content-Length", std::to_string(Text.size())}}));
+    HeaderList Fields{{"Connection", "close"},
+                      {"Content-Type", "text/plain"},
+                      {"Content-Length", std::to_string(Text.size())}};
+    if (Status == 408 || Status == 503)
+      Fields.add("Retry-After",
+                 std::to_string(1 + m_server.m_retryTurn++ % MaxRetryAfter));
+    m_stream->write(serialiseHead(Status, Fields));
     m_stream->write(Text);
     linger();
   }
 
   /// Closing a socket with unread bytes would reset the connection and lose the
-  /// answer, so incoming bytes are read and dropped for LingerTime.
+  /// answer, so incoming bytes are read and dropped for LingerTime, up to the
+  /// largest body of a request.
   void linger() {
     m_lingering = true;
-    m_in.clear();
+    m_sliced = false;
+    std::string().swap(m_in);
+    startReader(); // Frees the body.
+    m_memory.keep(ConnectionBytes);
     m_stream->finishWriting();
     m_stream->resumeReading();
     m_timer.callAfter(LingerTime, [this] { drop(); });
@@ -220,6 +317,8 @@
   HttpServer &m_server;
   std::shared_ptr<ByteStream> m_stream;
   Timer m_timer;
+  /// Of the connection and a request that is being received.
+  CallerMemory::Share m_memory;
   std::unique_ptr<RequestReader> m_reader;
   std::string m_in;                           ///< Received, not yet parsed.
   std::shared_ptr<ServerExchange> m_exchange; ///< The request in progress.
@@ -227,6 +326,9 @@
   bool m_continued = false;
   bool m_keepAlive = true;
   bool m_lingering = false;
+  bool m_served = false;     ///< A whole request was received.
+  bool m_sliced = false;     ///< The rest of m_in is read in a later turn.
+  std::size_t m_dropped = 0; ///< Bytes received while lingering.
   /// End of the last answer, or start of the connection.
   TimePoint m_idleSince{};
 };
@@ -306,18 +408,29 @@
 
 HttpServer::HttpServer(EventLoop &Loop, const Clock &Clk, Handler OnRequest)
     : m_loop(Loop), m_clock(Clk), m_handler(std::move(OnRequest)),
-      m_listener(Loop, [this](TcpSocket Socket) {
-        auto Connection =
-            std::make_shared<ServerConnection>(*this, std::move(Socket));
-        m_connections.insert(Connection);
-        Connection->start();
-      }) {}
+      m_listener(Loop,
+                 [this](TcpSocket Socket) { accept(std::move(Socket)); }) {}
 
 HttpServer::~HttpServer() {
   while (!m_connections.empty())
     (*m_connections.begin())->drop();
 }
 
+void HttpServer::accept(TcpSocket Socket) {
+  const std::size_t Most = m_shared.MaxConnections;
+  if (m_connections.size() >= Most) {
+    closeIdleAbove(Most - Most / CloseGroups - 1);
+    if (m_connections.size() >= Most) {
+      ++m_notAccepted;
+      return;
+    }
+  }
+  auto Connection =
+      std::make_shared<ServerConnection>(*this, std::move(Socket));
+  m_connections.insert(Connection);
+  Connection->start();
+}
+
 void HttpServer::startDraining() { m_draining = true; }
 
 bool HttpServer::quiet() const {
@@ -345,20 +458,18 @@
 void HttpServer::closeIdleAbove(std::size_t MaxConnections) {
   if (m_connections.size() <= MaxConnections)
     return;
-  std::vector<std::shared_ptr<ServerConnection>> Idle;
-  for (const auto &Connection : m_connections)
-    if (Connection->idle())
-      Idle.push_back(Connection);
-  const std::size_t CloseCount =
-      std::min(m_connections.size() - MaxConnections, Idle.size());
-  std::partial_sort(Idle.begin(),
-                    Idle.begin() + static_cast<std::ptrdiff_t>(CloseCount),
-                    Idle.end(), [](const auto &A, const auto &B) {
-                      return A->idleSince() < B->idleSince();
-                    });
-  Idle.resize(CloseCount);
-  for (const auto &Connection : Idle)
-    Connection->drop();
+  const std::vector<std::shared_ptr<ServerConnection>> All(
+      m_connections.begin(), m_connections.end());
+  std::vector<ConnectionState> States;
+  States.reserve(All.size());
+  for (const auto &Connection : All)
+    States.push_back(Connection->state());
+  for (const std::size_t Chosen :
+       chooseConnectionsToClose(States, m_connections.size() - MaxConnections))
+    if (!All[Chosen]->hasUnreadBytes()) {
+      ++m_closed;
+      All[Chosen]->drop();
+    }
 }
 
 } // namespace nutmegdrift::net
