Refuse requests whose end cannot be known, and drop trailer fields

Fields of a trailer were added to the header after it had been checked.

A Transfer-Encoding other than one "chunked", or in HTTP/1.0, is now answered with 400 and the connection is closed. Trailer fields are read and dropped.

--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -106,7 +106,18 @@
     Request.Target = std::string(Target);
   }
   void on_response_impl(int, Text, int, ErrorCode &) override {}
-  void on_field_impl(http::field, Text Name, Text Value, ErrorCode &) override {
+  void on_field_impl(http::field Id, Text Name, Text Value,
+                     ErrorCode &Failed) override {
+    // Fields of a trailer aren't part of the header that was checked.
+    if (is_header_done())
+      return;
+    if (Id == http::field::transfer_encoding) {
+      // The parser takes a body with another coding for no body, and the body
+      // would be read as the next request.
+      if (Request.Http10 || Coded || !equalIgnoringCase(Value, "chunked"))
+        Failed = http::error::bad_transfer_encoding;
+      Coded = true;
+    }
     HeaderBytes += sizeof(HeaderField) + Name.size() + Value.size();
     Request.Headers.add(std::string(Name), std::string(Value));
   }
@@ -131,6 +142,7 @@
   HttpRequest Request;
   std::size_t HeaderBytes = 0; ///< Memory of the fields.
   std::size_t Chunks = 0;
+  bool Coded = false; ///< Has a Transfer-Encoding.
   HttpParseError Error = HttpParseError::None;
 };
 
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -83,6 +83,38 @@
   EXPECT_EQ(Reader.error(), HttpParseError::Malformed);
 }
 
+// A body with another coding was taken for no body, and its bytes ran as a
+// further request that no caller had sent.
+TEST(RequestReader, RejectsACodingThatHidesTheEnd) {
+  for (const char *Coding :
+       {"gzip", "identity", "chunked, identity", "gzip, chunked", "chunked;q=1",
+        "", "chunked\r\nTransfer-Encoding: chunked"}) {
+    RequestReader Reader({});
+    Reader.put("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+               std::string(Coding) + "\r\n\r\n0\r\n\r\n");
+    EXPECT_EQ(Reader.error(), HttpParseError::Malformed) << Coding;
+  }
+  RequestReader Old({});
+  Old.put("POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  EXPECT_EQ(Old.error(), HttpParseError::Malformed);
+  RequestReader Sound({});
+  Sound.put("POST /a HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\nx\r\n0"
+            "\r\n\r\n");
+  EXPECT_TRUE(Sound.done());
+  EXPECT_EQ(Sound.take().Body, "x");
+}
+
+// A trailer could add fields after the checks, such as a second key.
+TEST(RequestReader, FieldsOfATrailerAreNoFieldsOfTheRequest) {
+  RequestReader Reader({});
+  Reader.put("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "1\r\nx\r\n0\r\nHost: other\r\nMore: y\r\n\r\n");
+  ASSERT_TRUE(Reader.done());
+  const HttpRequest Request = Reader.take();
+  EXPECT_EQ(Request.Headers,
+            (HeaderList{{"Host", "h"}, {"Transfer-Encoding", "chunked"}}));
+}
+
 TEST(RequestReader, ReportsTheExceededLimit) {
   RequestReader Header({.MaxHeaderBytes = 128});
   Header.put("GET / HTTP/1.1\r\nA: " + std::string(200, 'x') + "\r\n\r\n");
@@ -569,6 +601,16 @@
   EXPECT_EQ(Received.substr(0, 12), "HTTP/1.1 413");
 }
 
+TEST_F(ServerFixture, AHiddenRequestDoesNotRun) {
+  Answer = [](ServerExchange &Exchange) { Exchange.answer(200, {}, "done"); };
+  const std::string Received =
+      talk("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nPOST "
+           "/b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(Received.substr(0, 12), "HTTP/1.1 400");
+  EXPECT_TRUE(Caller.Ended);
+  EXPECT_TRUE(Exchanges.empty());
+}
+
 TEST_F(ServerFixture, AnAbortedAnswerNeverLooksComplete) {
   Answer = [](ServerExchange &Exchange) {
     Exchange.begin(200, {}, std::nullopt);
