Take a connection with an unsent answer for a busy one

Unsent bytes now make a connection busy. While a stop waits, it closes a connection one second after its last byte was sent.

ServerFixture.AnUnsentAnswerIsNotCut fails with these conditions taken out (no connection is left) and passes with them.

--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -104,10 +104,13 @@
     return (Use == ConnectionUse::Idle || Use == ConnectionUse::Unknown) &&
            !m_requestStarted && !m_stream->hasUnreadBytes();
   }
-  [[nodiscard]] bool lingering() const { return m_lingering; }
+  /// All is sent, and the caller need only close.
+  [[nodiscard]] bool lingering() const {
+    return m_lingering && m_stream->unsentBytes() == 0;
+  }
   [[nodiscard]] ConnectionState state() const {
     ConnectionUse Use = m_served ? ConnectionUse::Idle : ConnectionUse::Unknown;
-    if (m_exchange)
+    if (m_exchange || m_stream->unsentBytes() > 0)
       Use = ConnectionUse::Busy;
     else if (m_lingering)
       Use = ConnectionUse::Ending;
@@ -168,7 +171,19 @@
   void waitIdle() {
     m_idleSince = m_server.m_clock.now();
     m_memory.keep(ConnectionBytes);
-    m_timer.callAfter(m_server.m_options.IdleTimeout, [this] { drop(); });
+    dropUnlessRead(m_stream->unsentBytes());
+  }
+
+  /// Drops an idle connection after IdleTimeout, unless its caller has read
+  /// some of the last answer meanwhile.
+  void dropUnlessRead(std::size_t Unsent) {
+    m_timer.callAfter(m_server.m_options.IdleTimeout, [this, Unsent] {
+      const std::size_t Left = m_stream->unsentBytes();
+      if (Left < Unsent)
+        dropUnlessRead(Left);
+      else
+        drop();
+    });
   }
 
   /// Reserves the memory of the request that is being received.
@@ -311,7 +326,21 @@
     m_memory.keep(ConnectionBytes);
     m_stream->finishWriting();
     m_stream->resumeReading();
-    m_timer.callAfter(LingerTime, [this] { drop(); });
+    dropWhenSent(m_stream->unsentBytes(), m_server.m_clock.now());
+  }
+
+  /// Drops the connection LingerTime after all was sent, or when its caller has
+  /// read nothing for IdleTimeout.
+  void dropWhenSent(std::size_t Unsent, TimePoint Progress) {
+    m_timer.callAfter(LingerTime, [this, Unsent, Progress] {
+      const std::size_t Left = m_stream->unsentBytes();
+      const TimePoint Now = m_server.m_clock.now();
+      if (Unsent == 0 ||
+          (Left >= Unsent && Now - Progress >= m_server.m_options.IdleTimeout))
+        drop();
+      else
+        dropWhenSent(Left, Left < Unsent ? Now : Progress);
+    });
   }
 
   HttpServer &m_server;
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -725,6 +725,41 @@
   EXPECT_EQ(Server.connections(), 0U);
 }
 
+// A planned stop and the limit of connections took a caller that still read its
+// answer for an idle one and cut the answer, with and without a kept
+// connection.
+TEST_F(ServerFixture, AnUnsentAnswerIsNotCut) {
+  constexpr std::size_t LongAnswer = std::size_t{32} << 20U;
+  constexpr auto LongerThanLingering = 1200ms;
+  for (const bool Draining : {false, true}) {
+    if (Draining)
+      Server.startDraining();
+    Answer = [&](ServerExchange &Exchange) {
+      Exchange.answer(200, {}, std::string(LongAnswer, 'x'));
+      Caller.Stream->pauseReading();
+    };
+    Exchanges.clear();
+    Caller.Received.clear();
+    Caller.Stream->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto Until = std::chrono::steady_clock::now() + LongerThanLingering;
+    while (Exchanges.empty() || std::chrono::steady_clock::now() < Until)
+      Loop.run_one_for(50ms);
+    Server.closeIdle();
+    Server.closeIdleAbove(0);
+    EXPECT_FALSE(Server.quiet());
+    ASSERT_EQ(Server.connections(), 1U);
+    Caller.Stream->resumeReading();
+    const auto End = std::chrono::steady_clock::now() + 10s;
+    const auto Whole = [&] {
+      return Caller.Received.size() ==
+             Caller.Received.find("\r\n\r\n") + 4 + LongAnswer;
+    };
+    while (!Whole() && !Caller.Ended && std::chrono::steady_clock::now() < End)
+      Loop.run_one_for(50ms);
+    EXPECT_TRUE(Whole()) << Caller.Received.size();
+  }
+}
+
 // Connections that the kernel had accepted were reset when the process ended.
 TEST_F(ServerFixture, WhatWasConnectedBeforeTheEndOfListeningIsAnswered) {
   Answer = [](ServerExchange &Exchange) { Exchange.answer(200, {}, "done"); };
