Hold duties by a lease in the store and send their calls

Cause: usage reports and the number of replicas are duties of one daemon at a time; a second report with other counts, or a call with a lower number than an earlier one, is a violation. Change: policy::DutyLease decides claims, renewals and validity; one store object holds the lease, the decided reports and the orders, so that one conditional write decides and renews. platform::DutyFeed reads and writes it, and sends only what is stored and covered by the lease, checked again when the bytes are written. Heartbeats carry the holder. Metrics, log lines and GET /duties. Usage counts and orders are stubs of the gateway until their parts are merged. Failed tries: a claim on a long known revision replaced a newer record after a restore of the store had given the revision out again, so a claim needs a current read.

--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -4,6 +4,7 @@
 #define NUTMEGDRIFT_GATEWAY_FLEET_MESSAGES_H
 
 #include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/policy/duty_lease.h"
 #include "nutmegdrift/policy/version_judge.h"
 #include "nutmegdrift/routing/model_dispatcher.h"
 
@@ -110,6 +111,8 @@
   /// Of the store to which Revisions belong; it increases when the store is
   /// restored from a copy. 0: none is known.
   std::uint64_t StoreEra = 0;
+  /// What the sender knows of the duties; empty unless it reads their object.
+  policy::DutyView Duties{};
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/gateway/call.h"
 #include "nutmegdrift/gateway/loop_lag.h"
+#include "nutmegdrift/policy/replica_scaler.h"
 
 namespace nutmegdrift::gateway {
 
@@ -12,6 +13,7 @@
 struct StoreProgress {
   std::uint64_t Era = 0;
   std::vector<std::uint64_t> Revisions{};
+  policy::DutyView Duties{};
 };
 
 /// Serves callers. A platform adapter supplies the view of the deployment
@@ -25,6 +27,8 @@
     std::function<void(const Heartbeat &)> OnHeartbeat;
     /// The process may end.
     std::function<void()> OnStopped;
+    /// The state of the duties as JSON. Empty: there are no duties.
+    std::function<std::string()> DutyStatus{};
   };
 
   Gateway(net::EventLoop &Loop, const Clock &Clk, DecisionLog &Log,
@@ -58,6 +62,16 @@
   /// because one that the store rejects stops accepting. In an outage none
   /// accepts, and names decide.
   [[nodiscard]] std::size_t confirmationRank();
+  /// Usage reports of windows after After that can be decided now, oldest
+  /// first.
+  [[nodiscard]] std::vector<policy::UsageReport> dueUsage(TimePoint Now,
+                                                          std::uint64_t After);
+  /// The holder of the duties as far as it is known, and the newest window
+  /// whose report is decided.
+  void setDutyHolder(std::optional<DaemonName> Holder,
+                     std::uint64_t LastDecidedWindow);
+  /// The numbers of replicas that should be in force now.
+  [[nodiscard]] std::vector<policy::ReplicaOrder> replicaOrders(TimePoint Now);
   /// Sends an extra heartbeat to all other daemons now.
   void broadcastHeartbeat() { m_beacon.sendNow(); }
   /// Whether the directory may list this daemon.
@@ -123,6 +137,7 @@
   TimePoint m_lastLoadLog{};
   std::uint64_t m_loggedRequests = 0; ///< Started until m_lastLoadLog.
   TimePoint m_lastOutcomeBroadcast{}; ///< By an extra heartbeat.
+  std::optional<DaemonName> m_dutyHolder{};
 };
 
 } // namespace nutmegdrift::gateway
--- a/include/nutmegdrift/gateway/gateway_metrics.h
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -7,9 +7,27 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace nutmegdrift::gateway {
 
+/// Present values of the duties.
+struct DutyGauges {
+  bool Holds = false;
+  std::uint64_t Epoch = 0;
+  std::uint64_t DecidedWindow = 0;
+  std::size_t PendingWindows = 0;
+  std::size_t OverdueWindows = 0;
+  /// Sum of the replicas that are ordered.
+  std::uint64_t OrderedReplicas = 0;
+};
+
+/// Results of a call to the service of the duties.
+enum class DutyCallResult { Accepted, Limited, Refused, Failed };
+
+/// "accepted", "limited", "refused" or "failed".
+std::string_view toString(DutyCallResult Result);
+
 /// Not thread-safe, like all other parts of a gateway.
 class GatewayMetrics {
 public:
@@ -29,6 +47,11 @@
   void firstByte(double Seconds);
   void placementWait(double Seconds);
   void storeCall(bool Succeeded);
+  void duties(const DutyGauges &Now);
+  /// Duty is "usage" or "scale".
+  void dutyCall(std::string_view Duty, DutyCallResult Result);
+  /// The lease on the duties was claimed by this daemon.
+  void dutiesClaimed();
   void desiredStateAge(double Seconds);
   void connectionsOpened(double Count);
   void logLinesSuppressed(double Count);
--- a/include/nutmegdrift/net/client_connection.h
+++ b/include/nutmegdrift/net/client_connection.h
@@ -30,6 +30,9 @@
 
   /// Callbacks of one request. The last call is either OnEnd or OnFailure.
   struct Events {
+    /// Asked right before the request is written to the open connection; if
+    /// not, the request fails like one that could not connect. Empty: always.
+    std::function<bool()> MaySend{};
     /// Whether the answer belongs to this request. Empty: always.
     std::function<bool(const HttpAnswerHead &)> Accept{};
     std::function<void(HttpAnswerHead)> OnHead{};
@@ -56,6 +59,8 @@
             bool HeadOnly = false);
   /// Closes without further callbacks.
   void close();
+  /// Like close(), but bytes that were not transmitted are dropped.
+  void reset();
   /// Whether a request is in progress.
   [[nodiscard]] bool busy() const { return m_busy; }
   [[nodiscard]] bool connected() const { return m_stream && m_stream->open(); }
@@ -81,6 +86,8 @@
   void onEnd(StreamEnd End) override;
 
 private:
+  /// Fails the request before any byte of it was sent.
+  void failUnsent();
   void startAnswer();
   void onAnswerHead(HttpAnswerHead Head);
   /// Keeps a part of the body until passBodyOn().
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -291,7 +291,8 @@
          B.Interval.count(),
          std::move(Quarantine),
          std::move(Limits),
-         B.StoreEra};
+         B.StoreEra,
+         json::array({B.Duties.Holder, B.Duties.Epoch, B.Duties.Decided})};
   return toMsgpack(Out);
 }
 
@@ -344,6 +345,10 @@
              .PerSecond = optionalRate(Entry, 2).value_or(0.0),
              .Age = std::max(decodeTime(Entry.at(3)), Milliseconds(0))});
     B.StoreEra = optionalField<std::uint64_t>(V, 18);
+    if (V.size() > 19)
+      B.Duties = {.Holder = V.at(19).at(0).get<std::string>(),
+                  .Epoch = V.at(19).at(1).get<std::uint64_t>(),
+                  .Decided = V.at(19).at(2).get<std::uint64_t>()};
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -27,6 +27,9 @@
 /// Lower bound of a candidate's weight, for daemons whose weight is unknown.
 constexpr double MinDispatchWeight = 0.01;
 
+/// On the metrics address.
+constexpr char DutyStatusPath[] = "/duties";
+
 /// Share of the process's memory that the replicas' bytes may use. The rest is
 /// for requests, connections, the fleet's state, and what the allocator keeps.
 constexpr double BufferMemoryShare = 0.25;
@@ -190,7 +193,8 @@
 
 bool Gateway::leads() {
   constexpr std::size_t ConfirmingDaemons = 2;
-  return m_placement.dispatchesAny() || confirmationRank() < ConfirmingDaemons;
+  return m_placement.dispatchesAny() || m_dutyHolder == m_settings.Name ||
+         confirmationRank() < ConfirmingDaemons;
 }
 
 double Gateway::retryFloor() {
@@ -224,6 +228,18 @@
       }));
 }
 
+std::vector<policy::UsageReport> Gateway::dueUsage(TimePoint, std::uint64_t) {
+  return {};
+}
+
+void Gateway::setDutyHolder(std::optional<DaemonName> Holder, std::uint64_t) {
+  m_dutyHolder = std::move(Holder);
+}
+
+std::vector<policy::ReplicaOrder> Gateway::replicaOrders(TimePoint) {
+  return {};
+}
+
 bool Gateway::accepts(TimePoint Now) const {
   const auto Age = m_state.Freshness.age(Now);
   const auto KeyBound = std::chrono::duration_cast<Duration>(
@@ -250,6 +266,14 @@
 }
 
 void Gateway::onMetrics(net::ServerExchange &Exchange) {
+  if (Exchange.request().Target == DutyStatusPath) {
+    if (m_hooks.DutyStatus)
+      Exchange.answer(200, {{"Content-Type", "application/json"}},
+                      m_hooks.DutyStatus());
+    else
+      Exchange.answer(404, {}, "");
+    return;
+  }
   if (const auto Age = m_state.Freshness.age(m_clock.now()))
     m_metrics.desiredStateAge(std::chrono::duration<double>(*Age).count());
   m_metrics.connectionsOpened(static_cast<double>(m_pool.opened()));
@@ -318,7 +342,8 @@
           .Rollouts = m_state.Rollouts.statuses(Now),
           .Quarantine = m_quarantine.report(Now),
           .Limits = dispatchedLimits(Now),
-          .StoreEra = Progress.Era};
+          .StoreEra = Progress.Era,
+          .Duties = std::move(Progress.Duties)};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -17,6 +17,20 @@
 
 } // namespace
 
+std::string_view toString(DutyCallResult Result) {
+  switch (Result) {
+  case DutyCallResult::Accepted:
+    return "accepted";
+  case DutyCallResult::Limited:
+    return "limited";
+  case DutyCallResult::Refused:
+    return "refused";
+  case DutyCallResult::Failed:
+    return "failed";
+  }
+  return "unknown";
+}
+
 struct GatewayMetrics::Impl {
   prometheus::Registry Registry;
   prometheus::Family<prometheus::Counter> &Served =
@@ -44,6 +58,11 @@
           .Name("nutmegdrift_value")
           .Help("Present values by name")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &DutyCalls =
+      prometheus::BuildCounter()
+          .Name("nutmegdrift_duty_calls_total")
+          .Help("Calls to the service of the duties, by duty and result")
+          .Register(Registry);
   prometheus::Counter &Started = Events.Add({{"event", "request"}});
   prometheus::Counter &Disconnected = Events.Add({{"event", "caller-left"}});
   prometheus::Counter &Retries = Events.Add({{"event", "repeat"}});
@@ -53,6 +72,8 @@
   prometheus::Counter &StoreSuccesses = Events.Add({{"event", "store-call"}});
   prometheus::Counter &StoreFailures =
       Events.Add({{"event", "store-call-failed"}});
+  prometheus::Counter &DutiesClaimed =
+      Events.Add({{"event", "duties-claimed"}});
   prometheus::Histogram &FirstByte =
       Latency.Add({{"of", "first-byte"}}, latencyBuckets());
   prometheus::Histogram &PlacementWait =
@@ -99,6 +120,27 @@
   (Succeeded ? m_impl->StoreSuccesses : m_impl->StoreFailures).Increment();
 }
 
+void GatewayMetrics::duties(const DutyGauges &Now) {
+  const auto Set = [this](const char *Name, double Value) {
+    m_impl->Gauges.Add({{"name", Name}}).Set(Value);
+  };
+  Set("duty-holder", Now.Holds ? 1.0 : 0.0);
+  Set("duty-epoch", static_cast<double>(Now.Epoch));
+  Set("duty-decided-window", static_cast<double>(Now.DecidedWindow));
+  Set("duty-pending-windows", static_cast<double>(Now.PendingWindows));
+  Set("duty-overdue-windows", static_cast<double>(Now.OverdueWindows));
+  Set("duty-ordered-replicas", static_cast<double>(Now.OrderedReplicas));
+}
+
+void GatewayMetrics::dutyCall(std::string_view Duty, DutyCallResult Result) {
+  m_impl->DutyCalls
+      .Add({{"duty", std::string(Duty)},
+            {"result", std::string(toString(Result))}})
+      .Increment();
+}
+
+void GatewayMetrics::dutiesClaimed() { m_impl->DutiesClaimed.Increment(); }
+
 void GatewayMetrics::desiredStateAge(double Seconds) {
   m_impl->DesiredStateAge.Set(Seconds);
 }
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -72,7 +72,7 @@
         Self->m_connected = true;
         Self->m_listener->onConnected();
         Self->startReading();
-        if (!Self->m_out.empty())
+        if (Self->m_listener && !Self->m_out.empty())
           Self->flush();
       });
 }
--- a/src/nutmegdrift/net/client_connection.cpp
+++ b/src/nutmegdrift/net/client_connection.cpp
@@ -68,9 +68,25 @@
     m_stream->connect(m_peer, ConnectTimeout);
     return;
   }
+  if (m_events.MaySend && !m_events.MaySend()) {
+    failUnsent();
+    return;
+  }
   m_stream->write(Bytes);
 }
 
+void ClientConnection::failUnsent() {
+  auto Self = shared_from_this();
+  m_stream->reset();
+  failRequest(ClientFailure::ConnectFailed);
+}
+
+void ClientConnection::reset() {
+  if (m_stream)
+    m_stream->reset();
+  close();
+}
+
 void ClientConnection::close() {
   if (m_stream)
     m_stream->close();
@@ -166,7 +182,11 @@
     m_events.OnHead(std::move(Head));
 }
 
-void ClientConnection::onConnected() { m_sentAt = m_clock.now(); }
+void ClientConnection::onConnected() {
+  m_sentAt = m_clock.now();
+  if (m_events.MaySend && !m_events.MaySend())
+    failUnsent();
+}
 
 void ClientConnection::onConnectFailed() {
   auto Self = shared_from_this();
