--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -73,7 +73,7 @@
         Self->m_connected = true;
         Self->m_listener->onConnected();
         Self->startReading();
-        if (Self->unsentBytes() > 0)
+        if (Self->m_listener && Self->unsentBytes() > 0)
           Self->flush();
       });
 }
