Add the settings of duties

Cause: a deployment may have duties that one daemon holds for the fleet; the daemons must know the service, the lease and the windows of usage. Change: section duties of the settings, GatewaySettings::Duties, rendered from the table of the deployment if it exists. A section that names no known duty counts as missing.

--- a/include/nutmegdrift/gateway/settings.h
+++ b/include/nutmegdrift/gateway/settings.h
@@ -39,6 +39,24 @@
                          const GatewayBounds &) = default;
 };
 
+/// Duties that one daemon of the fleet holds for the deployment: it calls the
+/// operators' service at Service.
+struct DutySettings {
+  HostPort Service;
+  double CallsPerSecond = 50.0; ///< Accepted from all daemons together.
+  bool ReportsUsage = false;    ///< Whether usage reports are a duty.
+  bool ScalesReplicas = false;  ///< Whether the number of replicas is a duty.
+  Milliseconds Lease{3000};
+  /// Length of a usage window.
+  Milliseconds UsageWindow{5000};
+  /// Time from the end of a window to the time at which its report is due.
+  Milliseconds UsageLate{10000};
+  /// Allowed relative error of a workspace's count.
+  double UsageTolerance = 0.05;
+
+  friend bool operator==(const DutySettings &, const DutySettings &) = default;
+};
+
 struct GatewaySettings {
   DaemonName Name;
   std::string Zone;
@@ -57,6 +75,7 @@
   unsigned Descriptors = 1024;
   GatewayBounds Bounds;
   routing::DispatcherOptions Dispatch;
+  std::optional<DutySettings> Duties{}; ///< Unset: there are no duties.
 
   friend bool operator==(const GatewaySettings &,
                          const GatewaySettings &) = default;
--- a/src/nutmegdrift/gateway/settings.cpp
+++ b/src/nutmegdrift/gateway/settings.cpp
@@ -54,6 +54,52 @@
       std::clamp(positiveNumber(Parent, Name, Default), 1.0, MaxCount));
 }
 
+/// A number above 0; 0 counts as missing.
+double orDefault(const YAML::Node &Parent, const std::string &Name,
+                 double Default) {
+  const double Value = nonNegativeNumber(Parent, Name, Default);
+  return Value > 0.0 ? Value : Default;
+}
+
+/// A length of time of at least a millisecond; 0 counts as missing.
+Milliseconds positiveDurationIn(const YAML::Node &Parent,
+                                const std::string &Name, double Unit,
+                                Milliseconds Default) {
+  const Milliseconds Value = durationIn(Parent, Name, Unit, Default);
+  return Value.count() > 0 ? Value : Default;
+}
+
+/// Names of the duties in the settings.
+constexpr char UsageDuty[] = "usage_reporting";
+constexpr char ScaleDuty[] = "autoscaling";
+
+/// A section without any known duty counts as missing.
+std::optional<DutySettings> parseDuties(const YAML::Node &Node) {
+  if (!Node || Node.IsNull())
+    return std::nullopt;
+  const DutySettings Default;
+  DutySettings Out{
+      .Service = parseAddress(Node, "service"),
+      .CallsPerSecond = orDefault(Node, "calls_per_s", Default.CallsPerSecond),
+      .Lease =
+          positiveDurationIn(Node, "lease_ms", MillisecondUnit, Default.Lease),
+      .UsageWindow = positiveDurationIn(Node, "usage_window_s", SecondUnit,
+                                        Default.UsageWindow),
+      .UsageLate = positiveDurationIn(Node, "usage_late_s", SecondUnit,
+                                      Default.UsageLate),
+      .UsageTolerance =
+          nonNegativeNumber(Node, "usage_tolerance", Default.UsageTolerance)};
+  if (const YAML::Node Names = Node["names"]; Names && Names.IsSequence())
+    for (const YAML::Node &Name : Names) {
+      const auto Text = Name.as<std::string>("");
+      Out.ReportsUsage = Out.ReportsUsage || Text == UsageDuty;
+      Out.ScalesReplicas = Out.ScalesReplicas || Text == ScaleDuty;
+    }
+  if (!Out.ReportsUsage && !Out.ScalesReplicas)
+    return std::nullopt;
+  return Out;
+}
+
 GatewaySettings parseRoot(const YAML::Node &Root) {
   if (!Root.IsMap())
     throw BadSetting{"settings: not a map"};
@@ -77,6 +123,7 @@
       .Descriptors = countOf(Root, "descriptors", 1024),
       .Bounds = parseBounds(Root["bounds"]),
       .Dispatch = parseDispatcherOptions(Root["dispatch"]),
+      .Duties = parseDuties(Root["duties"]),
   };
   if (const YAML::Node Seeds = Root["seeds"]; Seeds && Seeds.IsSequence())
     for (const YAML::Node &Seed : Seeds) {
