Send usage counts to the holder of the duty and the next candidate

A killed daemon must lose at most the counts since its last message, and a killed holder none. Each daemon sends its cumulative counts by window as a datagram on the internal port, each 500 ms until the window is decided, and once more before a planned stop. Whoever has the counts of a lost daemon resends them. Heartbeats carry the sender's wall clock; it may be absent.

A model request counts when the first bytes of a signed success arrive, a plain one with the head of its answer, unless the answer says that it did not run. Requests without a workspace are not counted. Without usage reports among the duties nothing is counted or sent. Counts in heartbeats were ruled out, as they go to all daemons.

--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -45,6 +45,9 @@
   std::function<std::size_t()> Daemons;
   /// Part of GatewayBounds::RetryFloor that this daemon may use.
   std::function<double()> RetryFloor;
+  /// A request of the workspace began to run at a replica. Empty: such requests
+  /// are not counted.
+  std::function<void(const std::string &Workspace)> OnRunBegan;
   TimePoint Started{};
   StopSchedule Stop{}; ///< Valid while State.Stopping.
   std::map<std::string, RunTimeEstimate> RunTimes{}; ///< By route.
@@ -97,6 +100,8 @@
   void onHead(net::HttpAnswerHead Head);
   /// Whether the answer may begin a stream, or continue the one that has begun.
   [[nodiscard]] bool continuesStream() const;
+  /// Counts the run at the current replica for the workspace, once.
+  void countRun();
   void observeLimit();
   /// The replica wants no more requests, for a while or for good.
   void observeDecline();
@@ -160,6 +165,7 @@
   AnswerMetadata m_answerMetadata;
   std::string m_body;              ///< Held back until the answer is complete.
   net::BufferBudget::Share m_held; ///< The head, m_body and m_events.
+  bool m_runCounted = false;       ///< The run of the current attempt.
   bool m_streaming = false;    ///< The answer's head was sent to the caller.
   bool m_unresponsive = false; ///< The replica was reported as unresponsive.
   bool m_reading = true;       ///< False while the caller reads too slowly.
--- a/include/nutmegdrift/gateway/fleet_beacon.h
+++ b/include/nutmegdrift/gateway/fleet_beacon.h
@@ -88,6 +88,8 @@
     /// a service, or confirms the desired state for the others.
     std::function<bool()> Leads;
     std::function<void(const Heartbeat &)> OnHeartbeat;
+    /// Unset: usage counts are ignored.
+    std::function<void(const policy::UsageCounts &)> OnUsage{};
   };
 
   FleetBeacon(net::EventLoop &Loop, const Clock &Clk, DecisionLog &Log,
@@ -98,6 +100,8 @@
   void setSeeds(std::vector<std::string> Hosts) { m_seeds = std::move(Hosts); }
   /// Sends an extra heartbeat to all daemons now.
   void sendNow();
+  /// Sends a datagram to the internal port of a daemon; it may be lost.
+  void sendTo(const HostPort &Target, const std::string &Bytes);
   [[nodiscard]] FleetView &view() { return m_view; }
 
 private:
@@ -106,7 +110,8 @@
   void tick();
   void receive();
   void sendAll(Heartbeat Value);
-  void sendTo(const HostPort &Target, const std::string &Bytes);
+  void onDatagram(std::string_view Bytes,
+                  const boost::asio::ip::udp::endpoint &Sender);
   /// Answers a daemon that this one did not know, or took for lost.
   void greet(const Heartbeat &Received, TimePoint Now);
   [[nodiscard]] std::vector<HostPort> membersToAdvertise();
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -4,6 +4,7 @@
 #define NUTMEGDRIFT_GATEWAY_FLEET_MESSAGES_H
 
 #include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/policy/usage_ledger.h"
 #include "nutmegdrift/policy/version_judge.h"
 #include "nutmegdrift/routing/model_dispatcher.h"
 
@@ -110,6 +111,8 @@
   /// Of the store to which Revisions belong; it increases when the store is
   /// restored from a copy. 0: none is known.
   std::uint64_t StoreEra = 0;
+  /// The sender's wall clock in microseconds since 1970; 0: not sent.
+  std::int64_t WallMicros = 0;
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
@@ -201,6 +204,13 @@
 /// Nothing if the bytes aren't a heartbeat of this format version.
 std::optional<Heartbeat> decodeHeartbeat(std::string_view Bytes);
 
+/// A datagram beside the heartbeats.
+std::string encode(const policy::UsageCounts &Value);
+/// Whether the datagram holds usage counts; a heartbeat begins otherwise.
+bool isUsageCounts(std::string_view Bytes);
+/// Nothing if the bytes aren't usage counts of this format version.
+std::optional<policy::UsageCounts> decodeUsageCounts(std::string_view Bytes);
+
 /// The message with a length prefix, for a TCP connection.
 std::string encodeFrame(const PlacementMessage &Value);
 /// Removes one message from the front of Buffer and decodes it; nothing if it
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/gateway/call.h"
 #include "nutmegdrift/gateway/loop_lag.h"
+#include "nutmegdrift/gateway/usage_exchange.h"
 
 namespace nutmegdrift::gateway {
 
@@ -58,6 +59,16 @@
   /// because one that the store rejects stops accepting. In an outage none
   /// accepts, and names decide.
   [[nodiscard]] std::size_t confirmationRank();
+  /// Usage reports of windows after After that can be decided now, oldest
+  /// first. To be called at short intervals while this daemon holds the duties;
+  /// empty while it does not know enough. A window of which no live daemon has
+  /// counts is left out.
+  [[nodiscard]] std::vector<policy::UsageReport> dueUsage(TimePoint Now,
+                                                          std::uint64_t After);
+  /// The holder of the duties as far as it is known, and the newest window
+  /// whose report is decided.
+  void setDutyHolder(std::optional<DaemonName> Holder,
+                     std::uint64_t LastDecidedWindow);
   /// Sends an extra heartbeat to all other daemons now.
   void broadcastHeartbeat() { m_beacon.sendNow(); }
   /// Whether the directory may list this daemon.
@@ -109,6 +120,7 @@
   FleetBeacon m_beacon;
   Placement m_placement;
   std::map<std::string, policy::RetryBudget> m_budgets;
+  std::optional<UsageExchange> m_usage; ///< If usage reports are a duty.
   CallEnvironment m_callEnvironment;
   net::HttpServer m_front;
   net::HttpServer m_readiness;
--- a/include/nutmegdrift/gateway/gateway_metrics.h
+++ b/include/nutmegdrift/gateway/gateway_metrics.h
@@ -32,6 +32,8 @@
   void desiredStateAge(double Seconds);
   void connectionsOpened(double Count);
   void logLinesSuppressed(double Count);
+  /// Usage windows that have ended and are not known to be decided.
+  void usageWindowsPending(double Count);
   /// A replica crashed while requests of this daemon ran on it.
   void replicaCrashed();
   /// A callback of the event loop failed with an exception.
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -137,6 +137,7 @@
   m_firstByteAt = {};
   m_bodyBytes = 0;
   m_paceRecorded = false;
+  m_runCounted = false;
   m_env.State.Rollouts.recordSent(Chosen->Record);
   std::optional<HostPort> FetchFrom;
   // Cached prompt parts of another version belong to other model weights.
@@ -202,6 +203,9 @@
   observeLimit();
   observeDecline();
   m_head = std::move(Head);
+  if (!isModelCall() && !m_answerMetadata.NotRun &&
+      !m_answerMetadata.ReadAsNotRun)
+    countRun();
   // A plain answer is held back until it is complete, so that no event shows
   // its start.
   if (m_placementKey && !isModelCall())
@@ -221,6 +225,12 @@
                  (m_head->Chunked || m_streaming));
 }
 
+void Call::countRun() {
+  if (std::exchange(m_runCounted, true) || !m_workspace || !m_env.OnRunBegan)
+    return;
+  m_env.OnRunBegan(*m_workspace);
+}
+
 bool Call::continuesStream() const {
   return isSuccess(m_head->Status) && m_answerMetadata.Signed &&
          (!m_streaming ||
@@ -269,6 +279,9 @@
   if (m_bodyBytes == 0)
     m_firstByteAt = m_env.Clk.now();
   m_bodyBytes += Body.size();
+  // The prompt of a model request may be given up before its first event.
+  if (m_passThrough && isModelCall())
+    countRun();
   if (m_passThrough && m_env.Clk.now() - m_firstByteAt >= PaceTime)
     recordPace();
   if (!m_passThrough) {
--- a/src/nutmegdrift/gateway/fleet_beacon.cpp
+++ b/src/nutmegdrift/gateway/fleet_beacon.cpp
@@ -197,35 +197,46 @@
 };
 
 void FleetBeacon::receive() {
-  m_socket.async_wait(
-      udp::socket::wait_read,
-      [this](const boost::system::error_code &WaitError) {
-        if (WaitError == boost::asio::error::operation_aborted)
-          return;
-        const ReceiveAgain OnReturn{*this};
-        for (int I = 0; I < MaxHeartbeatsPerTurn; ++I) {
-          udp::endpoint Sender;
-          boost::system::error_code ReadError;
-          const std::size_t Size = m_socket.receive_from(
-              boost::asio::buffer(m_buffer), Sender, 0, ReadError);
-          if (ReadError == boost::asio::error::would_block ||
-              ReadError == boost::asio::error::try_again)
-            break;
-          if (ReadError)
-            continue;
-          const auto Value = decodeHeartbeat({m_buffer.data(), Size});
-          if (!Value) {
-            m_log.line(LogClass::Fault, "beat.unreadable",
-                       {{"from", Sender.address().to_string()},
-                        {"bytes", std::to_string(Size)}});
-            continue;
-          }
-          const TimePoint Now = m_clock.now();
-          greet(*Value, Now);
-          m_view.record(*Value, Now);
-          m_hooks.OnHeartbeat(*Value);
-        }
-      });
+  m_socket.async_wait(udp::socket::wait_read,
+                      [this](const boost::system::error_code &WaitError) {
+                        if (WaitError == boost::asio::error::operation_aborted)
+                          return;
+                        const ReceiveAgain OnReturn{*this};
+                        for (int I = 0; I < MaxHeartbeatsPerTurn; ++I) {
+                          udp::endpoint Sender;
+                          boost::system::error_code ReadError;
+                          const std::size_t Size = m_socket.receive_from(
+                              boost::asio::buffer(m_buffer), Sender, 0,
+                              ReadError);
+                          if (ReadError == boost::asio::error::would_block ||
+                              ReadError == boost::asio::error::try_again)
+                            break;
+                          if (ReadError)
+                            continue;
+                          onDatagram({m_buffer.data(), Size}, Sender);
+                        }
+                      });
+}
+
+void FleetBeacon::onDatagram(std::string_view Bytes,
+                             const udp::endpoint &Sender) {
+  if (m_hooks.OnUsage && isUsageCounts(Bytes)) {
+    if (const auto Counts = decodeUsageCounts(Bytes)) {
+      m_hooks.OnUsage(*Counts);
+      return;
+    }
+  }
+  const auto Value = decodeHeartbeat(Bytes);
+  if (!Value) {
+    m_log.line(LogClass::Fault, "beat.unreadable",
+               {{"from", Sender.address().to_string()},
+                {"bytes", std::to_string(Bytes.size())}});
+    return;
+  }
+  const TimePoint Now = m_clock.now();
+  greet(*Value, Now);
+  m_view.record(*Value, Now);
+  m_hooks.OnHeartbeat(*Value);
 }
 
 } // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -16,6 +16,13 @@
 
 /// Incremented when the format of any message changes.
 constexpr int FormatVersion = 3;
+/// First byte of usage counts. It is no msgpack array, so that daemons of
+/// versions without usage counts drop them.
+constexpr char UsageTag = 'U';
+constexpr int UsageFormatVersion = 1;
+/// Wall times of other daemons are limited to the year 2200, so that times
+/// computed from them can't overflow.
+constexpr std::int64_t MaxWallMicros = 7'258'118'400'000'000;
 /// Larger frames are malformed.
 constexpr std::size_t MaxFrameBytes = std::size_t{1} << 20U;
 constexpr std::size_t LengthBytes = 4;
@@ -291,7 +298,8 @@
          B.Interval.count(),
          std::move(Quarantine),
          std::move(Limits),
-         B.StoreEra};
+         B.StoreEra,
+         B.WallMicros};
   return toMsgpack(Out);
 }
 
@@ -344,6 +352,8 @@
              .PerSecond = optionalRate(Entry, 2).value_or(0.0),
              .Age = std::max(decodeTime(Entry.at(3)), Milliseconds(0))});
     B.StoreEra = optionalField<std::uint64_t>(V, 18);
+    B.WallMicros = std::clamp<std::int64_t>(optionalField<std::int64_t>(V, 19),
+                                            0, MaxWallMicros);
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
@@ -352,6 +362,59 @@
   }
 }
 
+std::string encode(const policy::UsageCounts &Value) {
+  json Counts = json::array();
+  for (const auto &[Workspace, Count] : Value.Counts) {
+    Counts.push_back(Workspace);
+    Counts.push_back(Count);
+  }
+  json Out = json::array();
+  Out = {UsageFormatVersion,
+         Value.Daemon,
+         Value.Boot,
+         Value.Window,
+         Value.First,
+         Value.Newest,
+         std::chrono::duration_cast<std::chrono::microseconds>(
+             Value.CompleteUpTo.time_since_epoch())
+             .count(),
+         Value.Ended,
+         std::move(Counts)};
+  return UsageTag + toMsgpack(Out);
+}
+
+bool isUsageCounts(std::string_view Bytes) {
+  return Bytes.starts_with(UsageTag);
+}
+
+std::optional<policy::UsageCounts> decodeUsageCounts(std::string_view Bytes) {
+  if (!isUsageCounts(Bytes))
+    return std::nullopt;
+  try {
+    const auto Read = readMsgpack(Bytes.substr(1));
+    if (!Read || Read->at(0).get<int>() != UsageFormatVersion)
+      return std::nullopt;
+    const json &V = *Read;
+    const auto CompleteUpTo =
+        std::clamp<std::int64_t>(V.at(6).get<std::int64_t>(), 0, MaxWallMicros);
+    policy::UsageCounts Out{
+        .Daemon = V.at(1).get<std::string>(),
+        .Boot = V.at(2).get<std::uint64_t>(),
+        .Window = V.at(3).get<std::uint64_t>(),
+        .First = V.at(4).get<std::uint64_t>(),
+        .Newest = V.at(5).get<std::uint64_t>(),
+        .CompleteUpTo = WallTime(std::chrono::microseconds(CompleteUpTo)),
+        .Ended = V.at(7).get<bool>()};
+    const json &Counts = V.at(8);
+    for (std::size_t I = 0; I + 1 < Counts.size(); I += 2)
+      Out.Counts[Counts[I].get<std::string>()] =
+          Counts[I + 1].get<std::uint64_t>();
+    return Out;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
 std::string encodeFrame(const PlacementMessage &Value) {
   const std::string Body = toMsgpack(std::visit(MessageEncoder{}, Value));
   std::string Frame(LengthBytes, '\0');
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -80,7 +80,12 @@
            .TakeOutcomes = [this] { return m_state.Rollouts.drainOutcomes(); },
            .Leads = [this] { return leads(); },
            .OnHeartbeat =
-               [this](const Heartbeat &Received) { onHeartbeat(Received); }}),
+               [this](const Heartbeat &Received) { onHeartbeat(Received); },
+           .OnUsage =
+               [this](const policy::UsageCounts &Received) {
+                 if (m_usage)
+                   m_usage->onCounts(Received);
+               }}),
       m_placement(
           {.Loop = Loop,
            .Clk = Clk,
@@ -139,7 +144,22 @@
           [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
             onMetrics(*Exchange);
           }),
-      m_tickTimer(Loop) {}
+      m_tickTimer(Loop) {
+  if (!m_settings.Duties || !m_settings.Duties->ReportsUsage)
+    return;
+  m_usage.emplace(
+      UsageExchange::Environment{
+          .Clk = Clk,
+          .Log = Log,
+          .Beacon = m_beacon,
+          .Self = m_settings.Name,
+          .Boot = m_boot,
+          .Accepts = [this] { return accepts(m_clock.now()); }},
+      *m_settings.Duties);
+  m_callEnvironment.OnRunBegan = [this](const std::string &Workspace) {
+    m_usage->count(Workspace);
+  };
+}
 
 Gateway::~Gateway() = default;
 
@@ -253,6 +273,8 @@
   if (const auto Age = m_state.Freshness.age(m_clock.now()))
     m_metrics.desiredStateAge(std::chrono::duration<double>(*Age).count());
   m_metrics.connectionsOpened(static_cast<double>(m_pool.opened()));
+  if (m_usage)
+    m_metrics.usageWindowsPending(static_cast<double>(m_usage->pending()));
   m_metrics.logLinesSuppressed(static_cast<double>(m_log.suppressed()));
   Exchange.answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                   m_metrics.text());
@@ -318,7 +340,12 @@
           .Rollouts = m_state.Rollouts.statuses(Now),
           .Quarantine = m_quarantine.report(Now),
           .Limits = dispatchedLimits(Now),
-          .StoreEra = Progress.Era};
+          .StoreEra = Progress.Era,
+          .WallMicros =
+              m_usage ? std::chrono::duration_cast<std::chrono::microseconds>(
+                            m_clock.wallNow().time_since_epoch())
+                            .count()
+                      : 0};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
@@ -337,6 +364,8 @@
   if (m_state.Rollouts.receive(Received.Boot, Received.Rollouts,
                                Received.Outcomes, Now))
     rolloutsChanged();
+  if (m_usage)
+    m_usage->onHeartbeat(Received);
   if (m_hooks.OnHeartbeat)
     m_hooks.OnHeartbeat(Received);
 }
@@ -356,6 +385,18 @@
   m_beacon.sendNow();
 }
 
+std::vector<policy::UsageReport> Gateway::dueUsage(TimePoint Now,
+                                                   std::uint64_t After) {
+  return m_usage ? m_usage->due(Now, After)
+                 : std::vector<policy::UsageReport>{};
+}
+
+void Gateway::setDutyHolder(std::optional<DaemonName> Holder,
+                            std::uint64_t LastDecidedWindow) {
+  if (m_usage)
+    m_usage->setHolder(std::move(Holder), LastDecidedWindow);
+}
+
 std::vector<DispatcherCandidate> Gateway::candidates() {
   std::vector<DispatcherCandidate> Out;
   const TimePoint Now = m_clock.now();
@@ -477,6 +518,8 @@
   const TimePoint Now = m_clock.now();
   m_lag.tick(Now);
   m_placement.setLag(m_lag.mean());
+  if (m_usage)
+    m_usage->tick();
   m_shedder.tick(m_lag.mean());
   if (Now - m_lastLoadLog >= LoadLogInterval)
     logLoad(Now);
@@ -543,6 +586,8 @@
       return;
     }
   }
+  if (m_usage)
+    m_usage->sendLast();
   m_log.line(LogClass::State, "daemon.stopped",
              {{"cut", std::to_string(m_front.activeRequests())}});
   m_hooks.OnStopped();
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -111,6 +111,10 @@
   m_impl->SuppressedLines.Set(Count);
 }
 
+void GatewayMetrics::usageWindowsPending(double Count) {
+  m_impl->Gauges.Add({{"name", "usage-windows-pending"}}).Set(Count);
+}
+
 void GatewayMetrics::replicaCrashed() { m_impl->Crashes.Increment(); }
 void GatewayMetrics::unexpectedError() { m_impl->Unexpected.Increment(); }
 
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -96,8 +96,9 @@
                                .FirstToken = 3ms,
                                .TokenGap = 2us}}},
       .Quarantine = {{.Service = "s", .Parts = {1, ~0ULL}, .Age = 5ms}},
-      .Limits = {
-          {.Service = "s", .Replica = "r", .PerSecond = 6.7, .Age = 9ms}}};
+      .Limits =
+          {{.Service = "s", .Replica = "r", .PerSecond = 6.7, .Age = 9ms}},
+      .WallMicros = 1'700'000'000'000'000};
   EXPECT_EQ(decodeHeartbeat(encode(Sent)), Sent);
   EXPECT_FALSE(decodeHeartbeat("no beat"));
   const PlacementMessage Messages[] = {
