Measure the demand for a service in replicas, and read its scaling bounds

The number of replicas has to follow what is offered, also when much of it is refused. The busy share of the engines can't show that: at overload it is 1.

DemandMeter sums reading time, memory and slots of the requests that are offered to a dispatcher in the last second; the scarcest is the demand. A refused request that comes back is not counted again. Engines that are ejected or whose oldest prompt is overdue by a second are named as failing. The desired state's autoscaling becomes Service::Scaling.

--- a/include/nutmegdrift/routing/desired_state.h
+++ b/include/nutmegdrift/routing/desired_state.h
@@ -69,6 +69,16 @@
   friend bool operator==(const EngineTraits &, const EngineTraits &) = default;
 };
 
+/// Bounds of the number of replicas that the fleet may order.
+struct ScalingBounds {
+  unsigned Minimum = 1;    ///< In each zone.
+  unsigned Maximum = 1;    ///< In each zone.
+  Milliseconds Startup{0}; ///< Until a new replica serves.
+
+  friend bool operator==(const ScalingBounds &,
+                         const ScalingBounds &) = default;
+};
+
 struct Service {
   std::string Name;
   std::string HealthPath;
@@ -76,6 +86,8 @@
   /// Requests per second that a cold replica can serve; 0: no limit.
   double ColdPerSecond = 0.0;
   std::optional<EngineTraits> Engine; ///< Absent: a plain service.
+  /// Absent: the number of replicas is not the fleet's to decide.
+  std::optional<ScalingBounds> Scaling{};
 
   friend bool operator==(const Service &, const Service &) = default;
 };
--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/base/random.h"
 #include "nutmegdrift/routing/cold_allowance.h"
+#include "nutmegdrift/routing/demand_meter.h"
 #include "nutmegdrift/routing/engine_estimate.h"
 #include "nutmegdrift/routing/fair_share.h"
 #include "nutmegdrift/routing/part_crashes.h"
@@ -188,6 +189,9 @@
   [[nodiscard]] std::vector<WorkspaceTotals>
   workspaceTotals(std::size_t Max) const;
   [[nodiscard]] double load() const { return m_load; }
+  /// The demand of the last second; Service is not set.
+  [[nodiscard]] DemandSummary demand(TimePoint Now) const;
+  [[nodiscard]] const DemandMeter &demandMeter() const { return m_demand; }
   [[nodiscard]] const EngineEstimate *engine(const ReplicaId &Id) const;
   /// The replica of a request that has not ended; empty if it is unknown.
   [[nodiscard]] ReplicaId replicaOf(RequestKey Key) const;
@@ -300,6 +304,7 @@
   DispatcherOptions m_options;
   const ReplicaLimits *m_limits;
   DispatcherTotals m_totals;
+  DemandMeter m_demand;
   Random m_random;
   double m_coldPerSecond = 0.0;
   Duration m_fetchPerThousand{0}; ///< 0: engines can't fetch.
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -44,6 +44,9 @@
 /// this to the first token.
 constexpr Duration LargePromptSlack = std::chrono::milliseconds(250);
 
+/// An engine whose oldest prompt is overdue by this much serves nothing.
+constexpr Duration FailingOverdue = std::chrono::seconds(1);
+
 /// Requests that will arrive later and go first, as a share of those that wait.
 constexpr double LaterRequests = 0.5;
 
@@ -487,6 +490,38 @@
   return All;
 }
 
+DemandSummary ModelDispatcher::demand(TimePoint Now) const {
+  DemandMeter::Capacity Mean;
+  std::vector<ReplicaId> Failing;
+  double Count = 0.0;
+  double Residence = 0.0;
+  for (const auto &[Id, Tracked] : m_engines) {
+    if (!Tracked.Usable)
+      continue;
+    const EngineEstimate &Estimate = Tracked.Estimate;
+    if (Tracked.Health.ejected(Now) || Estimate.overdue(Now) > FailingOverdue) {
+      Failing.push_back(Id);
+      continue;
+    }
+    ++Count;
+    Mean.ReadTokensPerSecond +=
+        Estimate.tokensPerMs() * 1000.0 * m_options.ReadingDuty;
+    Mean.Slots += Estimate.traits().Slots;
+    Mean.HeldTokens +=
+        static_cast<double>(Estimate.traits().KvTokens) * m_options.MemoryShare;
+    Residence += inMs(Estimate.meanResidenceTime());
+  }
+  if (Count > 0.0) {
+    Mean.ReadTokensPerSecond /= Count;
+    Mean.Slots /= Count;
+    Mean.HeldTokens /= Count;
+    Mean.ResidenceTime = scaled(Milliseconds(1), Residence / Count);
+  }
+  DemandSummary Out = m_demand.summary(Mean, m_queued, Now);
+  Out.Failing = std::move(Failing);
+  return Out;
+}
+
 double ModelDispatcher::tokensPerMs(TimePoint Now) const {
   double Sum = 0.0;
   for (const auto &[Id, Tracked] : m_engines)
@@ -584,6 +619,10 @@
                 Best.Destination->Estimate.tokensPerMs()
           : Queued.Request.PromptTokens;
   Queued.ReadingTokens = Tokens;
+  // What returns after a refusal was counted when it was offered first.
+  if (!Queued.Returned || Queued.Request.Repeated)
+    m_demand.offered(
+        Tokens, Queued.Request.PromptTokens + Queued.Request.OutputTokens, Now);
   // The queued requests have reserved engine time in the last pump, too.
   const Duration Ahead = expectedWait(Queue, Queued, Now);
   const Duration Wait =
@@ -614,6 +653,8 @@
       std::clamp(std::chrono::duration_cast<Milliseconds>(scaled(Wait, Spread)),
                  m_options.MinRetryAfter, m_options.MaxRetryAfter);
   ++m_totals.Refused;
+  if (!Refused.Returned)
+    m_demand.refused(Now);
   WorkspaceQueue &Queue = m_queues[Refused.Request.Workspace];
   ++Queue.Totals.Refused;
   Queue.Account.LastUnmet = Now;
