Feed the replica scaler from heartbeats and the store's lists

Heartbeats carry the demand of the services that a daemon places, if scaling is a duty; decoders accept its absence. ScalingControl runs the scaler in every daemon, so that a new holder knows the last seconds. Gateway::replicaOrders() gives the numbers that should be in force, and setReplicaOrders() takes those that a new holder reads from the store.

--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -113,6 +113,8 @@
   std::uint64_t StoreEra = 0;
   /// The sender's wall clock in microseconds since 1970; 0: not sent.
   std::int64_t WallMicros = 0;
+  /// Of the services that this daemon places and whose replicas are scaled.
+  std::vector<routing::DemandSummary> Demand;
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/gateway/call.h"
 #include "nutmegdrift/gateway/loop_lag.h"
+#include "nutmegdrift/gateway/scaling_control.h"
 #include "nutmegdrift/gateway/usage_exchange.h"
 
 namespace nutmegdrift::gateway {
@@ -69,6 +70,12 @@
   /// whose report is decided.
   void setDutyHolder(std::optional<DaemonName> Holder,
                      std::uint64_t LastDecidedWindow);
+  /// The numbers of replicas that should be in force now, as far as they were
+  /// changed; those of an earlier call while this daemon does not know enough.
+  [[nodiscard]] std::vector<policy::ReplicaOrder> replicaOrders(TimePoint Now);
+  /// The orders in force, as a new holder of the duties reads them from the
+  /// store. Without it, a holder begins with the numbers that it found.
+  void setReplicaOrders(const std::vector<policy::ReplicaOrder> &InForce);
   /// Sends an extra heartbeat to all other daemons now.
   void broadcastHeartbeat() { m_beacon.sendNow(); }
   /// Whether the directory may list this daemon.
@@ -120,7 +127,8 @@
   FleetBeacon m_beacon;
   Placement m_placement;
   std::map<std::string, policy::RetryBudget> m_budgets;
-  std::optional<UsageExchange> m_usage; ///< If usage reports are a duty.
+  std::optional<ScalingControl> m_scaling; ///< If scaling is a duty.
+  std::optional<UsageExchange> m_usage;    ///< If usage reports are a duty.
   CallEnvironment m_callEnvironment;
   net::HttpServer m_front;
   net::HttpServer m_readiness;
--- a/include/nutmegdrift/gateway/placement.h
+++ b/include/nutmegdrift/gateway/placement.h
@@ -127,6 +127,10 @@
     return m_dispatchers.contains(Service);
   }
   [[nodiscard]] std::size_t waiting() const;
+  /// The demand for the service as this daemon measures it; nothing if it
+  /// neither dispatches the service nor has placed requests of it lately.
+  [[nodiscard]] std::optional<routing::DemandSummary>
+  demand(const std::string &Service) const;
   /// Requests that this daemon counts as running on the service's replicas,
   /// those of other daemons included.
   [[nodiscard]] std::size_t running(const std::string &Service) const;
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -199,6 +199,14 @@
   return Rate;
 }
 
+routing::DemandSummary decodeDemand(const json &V) {
+  return {.Service = V.at(0).get<std::string>(),
+          .Replicas = optionalRate(V, 1).value_or(0.0),
+          .UnservedShare = std::min(1.0, optionalRate(V, 2).value_or(0.0)),
+          .Measured = std::max(decodeTime(V.at(3)), Milliseconds(0)),
+          .Failing = V.at(4).get<std::vector<std::string>>()};
+}
+
 EndedReport decodeEndedReport(const json &V) {
   const int Outcome = V.at(2).get<int>();
   if (Outcome < 0 ||
@@ -279,6 +287,11 @@
     Limits.push_back(json::array(
         {Limit.Service, Limit.Replica, Limit.PerSecond,
          std::chrono::duration_cast<Milliseconds>(Limit.Age).count()}));
+  json Demand = json::array();
+  for (const routing::DemandSummary &Each : B.Demand)
+    Demand.push_back(
+        json::array({Each.Service, Each.Replicas, Each.UnservedShare,
+                     Each.Measured.count(), Each.Failing}));
   json Out = json::array();
   Out = {FormatVersion,
          B.Daemon,
@@ -299,7 +312,8 @@
          std::move(Quarantine),
          std::move(Limits),
          B.StoreEra,
-         B.WallMicros};
+         B.WallMicros,
+         std::move(Demand)};
   return toMsgpack(Out);
 }
 
@@ -354,6 +368,9 @@
     B.StoreEra = optionalField<std::uint64_t>(V, 18);
     B.WallMicros = std::clamp<std::int64_t>(optionalField<std::int64_t>(V, 19),
                                             0, MaxWallMicros);
+    if (V.size() > 20)
+      for (const json &Entry : V.at(20))
+        B.Demand.push_back(decodeDemand(Entry));
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -145,6 +145,21 @@
             onMetrics(*Exchange);
           }),
       m_tickTimer(Loop) {
+  if (m_settings.Duties && m_settings.Duties->ScalesReplicas)
+    m_scaling.emplace(ScalingControl::Environment{
+        .Clk = Clk,
+        .Log = Log,
+        .Beacon = m_beacon,
+        .State = m_state,
+        .Self = m_settings.Name,
+        .StoreEra =
+            [this] {
+              return m_hooks.LatestProgress ? m_hooks.LatestProgress().Era : 0;
+            },
+        .Demand =
+            [this](const std::string &Service) {
+              return m_placement.demand(Service);
+            }});
   if (!m_settings.Duties || !m_settings.Duties->ReportsUsage)
     return;
   m_usage.emplace(
@@ -345,7 +360,9 @@
               m_usage ? std::chrono::duration_cast<std::chrono::microseconds>(
                             m_clock.wallNow().time_since_epoch())
                             .count()
-                      : 0};
+                      : 0,
+          .Demand = m_scaling ? m_scaling->demand()
+                              : std::vector<routing::DemandSummary>{}};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
@@ -366,6 +383,8 @@
     rolloutsChanged();
   if (m_usage)
     m_usage->onHeartbeat(Received);
+  if (m_scaling)
+    m_scaling->onHeartbeat(Received);
   if (m_hooks.OnHeartbeat)
     m_hooks.OnHeartbeat(Received);
 }
@@ -397,6 +416,16 @@
     m_usage->setHolder(std::move(Holder), LastDecidedWindow);
 }
 
+std::vector<policy::ReplicaOrder> Gateway::replicaOrders(TimePoint) {
+  return m_scaling ? m_scaling->orders() : std::vector<policy::ReplicaOrder>{};
+}
+
+void Gateway::setReplicaOrders(
+    const std::vector<policy::ReplicaOrder> &InForce) {
+  if (m_scaling)
+    m_scaling->setOrders(InForce);
+}
+
 std::vector<DispatcherCandidate> Gateway::candidates() {
   std::vector<DispatcherCandidate> Out;
   const TimePoint Now = m_clock.now();
@@ -520,6 +549,8 @@
   m_placement.setLag(m_lag.mean());
   if (m_usage)
     m_usage->tick();
+  if (m_scaling)
+    m_scaling->tick();
   m_shedder.tick(m_lag.mean());
   if (Now - m_lastLoadLog >= LoadLogInterval)
     logLoad(Now);
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -98,7 +98,12 @@
       .Quarantine = {{.Service = "s", .Parts = {1, ~0ULL}, .Age = 5ms}},
       .Limits =
           {{.Service = "s", .Replica = "r", .PerSecond = 6.7, .Age = 9ms}},
-      .WallMicros = 1'700'000'000'000'000};
+      .WallMicros = 1'700'000'000'000'000,
+      .Demand = {{.Service = "s",
+                  .Replicas = 61.5,
+                  .UnservedShare = 0.25,
+                  .Measured = 1500ms,
+                  .Failing = {"r1", "r2"}}}};
   EXPECT_EQ(decodeHeartbeat(encode(Sent)), Sent);
   EXPECT_FALSE(decodeHeartbeat("no beat"));
   const PlacementMessage Messages[] = {
--- a/src/nutmegdrift/gateway/placement.cpp
+++ b/src/nutmegdrift/gateway/placement.cpp
@@ -835,6 +835,18 @@
       }));
 }
 
+std::optional<routing::DemandSummary>
+Placement::demand(const std::string &Service) const {
+  const TimePoint Now = m_env.Clk.now();
+  const auto Entry = m_dispatchers.find(Service);
+  if (Entry == m_dispatchers.end() ||
+      (!dispatches(Service) && !Entry->second.demandMeter().active(Now)))
+    return std::nullopt;
+  routing::DemandSummary Out = Entry->second.demand(Now);
+  Out.Service = Service;
+  return Out;
+}
+
 std::size_t Placement::running(const std::string &Service) const {
   const auto Entry = m_dispatchers.find(Service);
   return Entry == m_dispatchers.end() ? 0 : Entry->second.running();
