--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -5,7 +5,8 @@
 #include "nutmegdrift/gateway/call.h"
 #include "nutmegdrift/gateway/caller_limits.h"
 #include "nutmegdrift/gateway/loop_lag.h"
-#include "nutmegdrift/policy/replica_scaler.h"
+#include "nutmegdrift/gateway/scaling_control.h"
+#include "nutmegdrift/gateway/usage_exchange.h"
 
 namespace nutmegdrift::gateway {
 
@@ -64,15 +65,21 @@
   /// accepts, and names decide.
   [[nodiscard]] std::size_t confirmationRank();
   /// Usage reports of windows after After that can be decided now, oldest
-  /// first.
+  /// first. To be called at short intervals while this daemon holds the duties;
+  /// empty while it does not know enough. A window of which no live daemon has
+  /// counts is left out.
   [[nodiscard]] std::vector<policy::UsageReport> dueUsage(TimePoint Now,
                                                           std::uint64_t After);
   /// The holder of the duties as far as it is known, and the newest window
   /// whose report is decided.
   void setDutyHolder(std::optional<DaemonName> Holder,
                      std::uint64_t LastDecidedWindow);
-  /// The numbers of replicas that should be in force now.
+  /// The numbers of replicas that should be in force now, as far as they were
+  /// changed; those of an earlier call while this daemon does not know enough.
   [[nodiscard]] std::vector<policy::ReplicaOrder> replicaOrders(TimePoint Now);
+  /// The orders in force, as a new holder of the duties reads them from the
+  /// store. Without it, a holder begins with the numbers that it found.
+  void setReplicaOrders(const std::vector<policy::ReplicaOrder> &InForce);
   /// Sends an extra heartbeat to all other daemons now.
   void broadcastHeartbeat() { m_beacon.sendNow(); }
   /// Whether the directory may list this daemon.
@@ -126,6 +133,8 @@
   FleetBeacon m_beacon;
   Placement m_placement;
   std::map<std::string, policy::RetryBudget> m_budgets;
+  std::optional<ScalingControl> m_scaling; ///< If scaling is a duty.
+  std::optional<UsageExchange> m_usage;    ///< If usage reports are a duty.
   CallEnvironment m_callEnvironment;
   CallerLimits m_callerLimits;
   net::HttpServer m_front;
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -161,6 +161,10 @@
   m_impl->SuppressedLines.Set(Count);
 }
 
+void GatewayMetrics::usageWindowsPending(double Count) {
+  m_impl->Gauges.Add({{"name", "usage-windows-pending"}}).Set(Count);
+}
+
 void GatewayMetrics::replicaCrashed() { m_impl->Crashes.Increment(); }
 void GatewayMetrics::callerLimits(const CallerLimitCounts &Since) {
   m_impl->MemoryRefused.Increment(static_cast<double>(Since.MemoryRefused));
