--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -109,13 +109,14 @@
     return m_lingering && m_stream->unsentBytes() == 0;
   }
   [[nodiscard]] ConnectionState state() const {
+    // A request that has begun, or the start of one after an answer.
+    const bool Receiving =
+        m_requestStarted ? m_served || m_reader->headerDone() : !m_in.empty();
+    const bool Sent = m_stream->unsentBytes() == 0;
     ConnectionUse Use = m_served ? ConnectionUse::Idle : ConnectionUse::Unknown;
-    if (m_exchange || m_stream->unsentBytes() > 0)
-      Use = ConnectionUse::Busy;
-    else if (m_lingering)
+    if (m_lingering && Sent)
       Use = ConnectionUse::Ending;
-    else if (m_requestStarted ? m_served || m_reader->headerDone()
-                              : !m_in.empty())
+    else if (m_exchange || Receiving || !Sent)
       Use = ConnectionUse::Busy;
     return {.Use = Use, .Since = m_idleSince};
   }
