--- a/src/nutmegdrift/ctl/commands.cpp
+++ b/src/nutmegdrift/ctl/commands.cpp
@@ -576,6 +576,54 @@
   return All ? ExitCode::Done : ExitCode::Partial;
 }
 
+/// Rows of the state that a daemon serves at /duties.
+std::vector<std::vector<std::string>> dutyRows(const Json &State) {
+  std::vector<std::vector<std::string>> Rows;
+  const auto Add = [&](const char *Title, const char *Field) {
+    const Json &Value = State.at(Field);
+    Rows.push_back(
+        {Title, Value.is_string() ? Value.get<std::string>() : Value.dump()});
+  };
+  Add("asked daemon", "daemon");
+  Add("holder", "holder");
+  Add("epoch", "epoch");
+  Add("holds the duties", "holds");
+  Add("lease left, ms", "validMs");
+  Add("rank", "rank");
+  Add("last window decided", "decidedWindow");
+  Add("last window accepted", "acceptedWindow");
+  Add("windows pending", "pendingWindows");
+  Add("windows overdue", "overdueWindows");
+  for (const Json &Order : State.at("orders"))
+    Rows.push_back({"order " + Order.at("service").get<std::string>() + " " +
+                        Order.at("zone").get<std::string>(),
+                    Order.at("count").dump() +
+                        (Order.at("accepted").get<bool>() ? " accepted "
+                                                          : " not accepted ") +
+                        Order.at("reason").get<std::string>()});
+  return Rows;
+}
+
+Result<ExitCode> duties(const Invocation &In) {
+  const auto Daemon = parseHostPort(In.Names.front());
+  if (!Daemon)
+    return fail(ErrorKind::MalformedRequest,
+                In.Names.front() + " is not of the form host:port");
+  BOOST_LEAF_AUTO(Text, In.With.Admin.get(*Daemon, "/duties"));
+  try {
+    const Json State = Json::parse(Text);
+    const auto Rows = dutyRows(State);
+    if (In.json())
+      In.With.Out << State << "\n";
+    else
+      printTable(In.With.Out, Rows);
+  } catch (const Json::exception &Failure) {
+    return fail(ErrorKind::InvalidDocument,
+                std::string("answer of the daemon: ") + Failure.what());
+  }
+  return ExitCode::Done;
+}
+
 Result<ExitCode> completionBash(const Invocation &In);
 
 const std::vector<Command> &commands() {
@@ -642,6 +690,13 @@
         {"since", "Only events of the last time, such as 10min"},
         {"logs", "Read these saved logs instead, separated by commas"}},
        timeline},
+      {"duties",
+       "HOST:PORT",
+       "Show the duties as the daemon with this metrics address knows them",
+       1,
+       1,
+       {},
+       duties},
       {"completion bash",
        "",
        "Print completion for bash",
--- a/src/nutmegdrift/ctl/ctl_test.cpp
+++ b/src/nutmegdrift/ctl/ctl_test.cpp
@@ -270,6 +270,23 @@
   EXPECT_THAT(m_out.str(), HasSubstr(R"("state":"done")"));
 }
 
+TEST_F(CtlTest, DutiesShowsTheHolderAndTheOrders) {
+  EXPECT_EQ(run({"duties", "nowhere"}), ExitCode::Usage);
+  EXPECT_EQ(run({"duties", "h1:9464"}), ExitCode::Failed);
+  m_admin.Answers["h1:9464/duties"] = R"({"daemon":"a"})";
+  EXPECT_EQ(run({"duties", "h1:9464"}), ExitCode::InvalidFile);
+  m_admin.Answers["h1:9464/duties"] =
+      R"({"daemon":"a","holder":"b","epoch":1002,"holds":false,"validMs":0,
+          "rank":1,"decidedWindow":9,"acceptedWindow":8,"pendingWindows":[9],
+          "overdueWindows":0,"orders":[{"service":"s","zone":"z","count":4,
+          "accepted":true,"reason":"demand"}]})";
+  EXPECT_EQ(run({"duties", "h1:9464"}), ExitCode::Done);
+  EXPECT_THAT(m_out.str(), HasSubstr("holder                b\n"));
+  EXPECT_THAT(m_out.str(), HasSubstr("4 accepted demand"));
+  EXPECT_EQ(run({"duties", "h1:9464", "--output", "json"}), ExitCode::Done);
+  EXPECT_THAT(m_out.str(), HasSubstr(R"("pendingWindows":[9])"));
+}
+
 TEST_F(CtlTest, TimelineMergesAndFilters) {
   m_admin.Answers["h1:1/admin/events"] = R"({"process":"a","events":[
     {"wall_us":1000000,"seq":1,"name":"x","fields":{"request":"r1"}},
