Send usage counts only while they change and after a window's end

Each daemon sent each pending window every 500 ms, also without requests: a holder with a tenth of a core would read 1,600 datagrams a second in a fleet of 400 (computed, not measured), nearly all without news.

An open window is now sent while its counts change, an ended one at once and then at intervals that double from 500 ms to 2.5 s until it is decided. A new start and a new target get a message at once, so that windows are decided as early as before.

--- a/include/nutmegdrift/policy/usage_ledger.h
+++ b/include/nutmegdrift/policy/usage_ledger.h
@@ -55,10 +55,12 @@
 
   /// Interval at which counts are sent.
   static constexpr Duration SendInterval = std::chrono::milliseconds(500);
-  /// A window whose end is further back is sent less often: within this time,
-  /// several messages in a row must be lost for a target to miss it.
-  static constexpr Duration FrequentAfterEnd = std::chrono::seconds(3);
-  /// Interval for such windows, and for the counts of lost daemons.
+  /// Counts are sent while they change, once the window has ended, and then at
+  /// intervals that double up to SlowSendInterval. Most daemons of a large
+  /// fleet count little, and a holder with a tenth of a core reads the messages
+  /// of all.
+  static constexpr unsigned MaxDoublings = 3;
+  /// Also the interval for the counts of lost daemons.
   static constexpr Duration SlowSendInterval = std::chrono::milliseconds(2500);
   /// A window is not decided before this time after its end: the daemons' views
   /// of the fleet's time differ by the delay of heartbeats.
@@ -121,6 +123,8 @@
     std::vector<std::uint32_t> ByWorkspace; ///< Index: m_workspaces.
     WallTime CompleteUpTo{};
     std::optional<TimePoint> SentAt{};
+    bool Changed = false;      ///< Since SentAt.
+    unsigned SentAfterEnd = 0; ///< Messages since the window ended.
   };
   struct Start {
     DaemonName Daemon;
@@ -136,6 +140,8 @@
   std::optional<std::size_t> indexOf(const std::string &Workspace);
   void openWindows(WindowNumber Current);
   static void dropOldest(Start &Known);
+  [[nodiscard]] static bool due(const WindowCounts &Counts, bool Ended,
+                                bool Own, TimePoint Now);
   [[nodiscard]] UsageCounts message(BootId Boot, const Start &Sender,
                                     WindowNumber Window) const;
   [[nodiscard]] bool complete(BootId Boot, WindowNumber Window,
--- a/src/nutmegdrift/policy/usage_ledger.cpp
+++ b/src/nutmegdrift/policy/usage_ledger.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace nutmegdrift::policy {
 
@@ -40,7 +41,9 @@
     return;
   if (!m_counting)
     Self.First = Current;
-  m_counting = true;
+  // The others learn at once that this start counted nothing before.
+  if (!std::exchange(m_counting, true))
+    Self.Windows[Current].Changed = true;
   Self.First = std::min(Self.First, Current);
   Self.Newest = std::max(Self.Newest, Current);
   // Windows without requests are reported as complete too.
@@ -68,6 +71,7 @@
   if (Counts.ByWorkspace.size() <= *Index)
     Counts.ByWorkspace.resize(*Index + 1);
   ++Counts.ByWorkspace[*Index];
+  Counts.Changed = true;
 }
 
 void UsageLedger::merge(const UsageCounts &Received, WallTime FleetTime) {
@@ -126,6 +130,21 @@
   return Out;
 }
 
+bool UsageLedger::due(const WindowCounts &Counts, bool Ended, bool Own,
+                      TimePoint Now) {
+  if (!Counts.SentAt)
+    return !Own || Ended || Counts.Changed;
+  // Half an interval of tolerance, as the calls are not exact.
+  const Duration Waited = Now - *Counts.SentAt + SendInterval / 2;
+  if (!Own)
+    return Waited >= SlowSendInterval;
+  if (!Ended || Counts.Changed || Counts.SentAfterEnd == 0)
+    return (Ended || Counts.Changed) && Waited >= SendInterval;
+  const Duration Interval =
+      SendInterval * (1U << std::min(Counts.SentAfterEnd - 1, MaxDoublings));
+  return Waited >= std::min(Interval, SlowSendInterval);
+}
+
 std::vector<UsageCounts> UsageLedger::takeMessages(TimePoint Now,
                                                    WallTime FleetTime,
                                                    const Fleet &Others) {
@@ -140,16 +159,14 @@
     if (Boot != m_boot && Known != Others.end() && Known->second)
       continue;
     for (auto &[Window, Counts] : Sender.Windows) {
-      const bool Slow =
-          Boot != m_boot || FleetTime - endOf(Window) > FrequentAfterEnd;
-      // Half an interval of tolerance, as the calls are not exact.
-      const Duration Interval =
-          (Slow ? SlowSendInterval : SendInterval) - SendInterval / 2;
-      if (Counts.SentAt && Now - *Counts.SentAt < Interval)
+      const bool Ended = FleetTime >= endOf(Window);
+      if (!due(Counts, Ended, Boot == m_boot, Now))
         continue;
       if (Boot == m_boot)
         Counts.CompleteUpTo = std::max(Counts.CompleteUpTo, FleetTime);
       Counts.SentAt = Now;
+      Counts.Changed = false;
+      Counts.SentAfterEnd += Ended ? 1 : 0;
       Out.push_back(message(Boot, Sender, Window));
     }
   }
@@ -170,8 +187,11 @@
 
 void UsageLedger::resendAll() {
   for (auto &[Boot, Known] : m_starts)
-    for (auto &[Window, Counts] : Known.Windows)
+    for (auto &[Window, Counts] : Known.Windows) {
       Counts.SentAt.reset();
+      Counts.SentAfterEnd = 0;
+      Counts.Changed = true;
+    }
 }
 
 bool UsageLedger::complete(BootId Boot, WindowNumber Window,
--- a/src/nutmegdrift/policy/usage_ledger_test.cpp
+++ b/src/nutmegdrift/policy/usage_ledger_test.cpp
@@ -328,6 +328,22 @@
   EXPECT_LT(Fleet.Latest, 2s);
 }
 
+// The holder reads the messages of up to 400 daemons, most of which count
+// little.
+TEST(UsageLedger, ADaemonWithoutRequestsSendsLittle) {
+  UsageLedger Ledger("d", 1, {});
+  const TimePoint Start{1000s};
+  Ledger.count("w", trueTime(Start));
+  std::size_t Messages = 0;
+  for (TimePoint Now = Start; Now < Start + 50s;
+       Now += UsageLedger::SendInterval) {
+    // Decided a second after the end of the window.
+    Ledger.dropDecided(trueWindow(Now - 1s) - 1);
+    Messages += Ledger.takeMessages(Now, trueTime(Now), {}).size();
+  }
+  EXPECT_LE(Messages, 3 * 11U);
+}
+
 TEST(UsageLedger, IgnoresMessagesOfWindowsFarAhead) {
   UsageLedger Ledger("d", 1, {});
   const TimePoint Now{1000s};
