--- a/src/nutmegdrift/gateway/scaling_control.cpp
+++ b/src/nutmegdrift/gateway/scaling_control.cpp
@@ -85,6 +85,7 @@
     Zone.Failing += Failing.contains(Id) ? 1 : 0;
   }
   std::vector<policy::ReplicaScaler::ServiceState> Out;
+  Out.reserve(Found.size());
   for (auto &[Name, State] : Found)
     Out.push_back(std::move(State));
   return Out;
--- a/src/nutmegdrift/policy/replica_scaler_test.cpp
+++ b/src/nutmegdrift/policy/replica_scaler_test.cpp
@@ -114,7 +114,8 @@
 // Guards against paying for unused replicas, and against removing in the wave's
 // low point what its next crest needs, wherever in the wave the service starts.
 TEST(ReplicaScaler, AWaveKeepsWhatItsCrestNeeds) {
-  for (double Phase = 0.0; Phase < 1.0; Phase += 0.125) {
+  for (int Eighths = 0; Eighths < 8; ++Eighths) {
+    const double Phase = Eighths / 8.0;
     ScaledService Service(ScaledService::wave(70, Phase));
     Service.run(10500ms);
     EXPECT_LE(Service.ordered(), 0.82 * 140) << Phase;
