Keep all timers of an event loop in one queue

Each Asio timer that became the earliest one cost two calls of timerfd_settime: 49 in an idle second and 6 for a model request. The timers of an event loop are now entries of one sorted queue. runGuarded() passes the earliest deadline to epoll_wait, so timers need no system call of their own; a loop that is run in another way uses one Asio timer. A deadline never fires early, and up to a tenth of its delay and 10 ms late, so that ticks of several objects share a wake-up. The tick that measures the loop's lag is exact.

Tried: run_one_until() with the exact deadline. It returns without a look for I/O when the deadline has just passed, so a timer without delay starved other work; ATimerWithoutDelayDoesNotStarveOtherWork shows it.

--- a/include/nutmegdrift/net/event_loop.h
+++ b/include/nutmegdrift/net/event_loop.h
@@ -4,10 +4,10 @@
 
 #include "nutmegdrift/base/clock.h"
 #include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/net/timer_queue.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -19,22 +19,24 @@
 using TcpSocket = boost::asio::ip::tcp::socket;
 
 /// A one-shot timer. Setting it again replaces the pending call; destroying it
-/// cancels the call. The callback runs on the loop.
+/// cancels the call. The callback runs on the loop, never early, and up to a
+/// tenth of the delay late, at most TimerQueue::MaxSlack.
 class Timer {
 public:
-  explicit Timer(EventLoop &Loop) : m_timer(Loop) {}
+  explicit Timer(EventLoop &Loop) : m_queue(TimerQueue::of(Loop)) {}
   ~Timer() { cancel(); }
   Timer(const Timer &) = delete;
   Timer &operator=(const Timer &) = delete;
 
   void callAfter(Duration Delay, std::function<void()> Callback);
-  void cancel();
-  [[nodiscard]] bool armed() const { return m_armed != nullptr; }
+  /// Without a delay on purpose, for measurements of time.
+  void callExactlyAfter(Duration Delay, std::function<void()> Callback);
+  void cancel() { m_queue.cancel(m_entry); }
+  [[nodiscard]] bool armed() const { return m_entry.pending(); }
 
 private:
-  boost::asio::steady_timer m_timer;
-  /// Shared with the pending wait, which has no effect once this is replaced.
-  std::shared_ptr<bool> m_armed;
+  TimerQueue &m_queue;
+  TimerEntry m_entry;
 };
 
 /// Times after which an unresponsive TCP peer counts as lost.
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -473,7 +473,9 @@
 
 void Gateway::tick() {
   // Set first, so that an exception below doesn't end the ticks.
-  m_tickTimer.callAfter(StateFreshness::TickInterval, [this] { tick(); });
+  // Exactly, because the loop's lag is measured by the delay of this tick.
+  m_tickTimer.callExactlyAfter(StateFreshness::TickInterval,
+                               [this] { tick(); });
   const TimePoint Now = m_clock.now();
   m_lag.tick(Now);
   m_placement.setLag(m_lag.mean());
--- a/src/nutmegdrift/net/event_loop.cpp
+++ b/src/nutmegdrift/net/event_loop.cpp
@@ -1,31 +1,23 @@
 // Timers and socket options.
 #include "nutmegdrift/net/event_loop.h"
 
+#include <algorithm>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace nutmegdrift::net {
 
 void Timer::callAfter(Duration Delay, std::function<void()> Callback) {
-  if (m_armed)
-    *m_armed = false;
-  m_armed = std::make_shared<bool>(true);
-  m_timer.expires_after(Delay);
-  m_timer.async_wait([this, Armed = m_armed, Call = std::move(Callback)](
-                         const boost::system::error_code &Failed) {
-    if (Failed || !*Armed)
-      return;
-    m_armed.reset();
-    Call();
-  });
+  const Duration Slack =
+      std::min(std::chrono::duration_cast<Duration>(
+                   std::max(Delay, Duration{0}) * TimerQueue::SlackShare),
+               TimerQueue::MaxSlack);
+  m_queue.add(m_entry, Delay, Slack, std::move(Callback));
 }
 
-void Timer::cancel() {
-  if (!m_armed)
-    return;
-  *m_armed = false;
-  m_armed.reset();
-  m_timer.cancel();
+void Timer::callExactlyAfter(Duration Delay, std::function<void()> Callback) {
+  m_queue.add(m_entry, Delay, Duration{0}, std::move(Callback));
 }
 
 void tuneSocket(TcpSocket &Socket, const KeepAlive &Probes) {
@@ -47,7 +39,7 @@
                 const std::function<void(const std::string &Cause)> &OnError) {
   for (;;) {
     try {
-      Loop.run();
+      TimerQueue::of(Loop).run();
       return;
     } catch (const std::exception &Caught) {
       OnError(Caught.what());
