--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -96,8 +96,14 @@
                                .FirstToken = 3ms,
                                .TokenGap = 2us}}},
       .Quarantine = {{.Service = "s", .Parts = {1, ~0ULL}, .Age = 5ms}},
-      .Limits = {
-          {.Service = "s", .Replica = "r", .PerSecond = 6.7, .Age = 9ms}}};
+      .Limits =
+          {{.Service = "s", .Replica = "r", .PerSecond = 6.7, .Age = 9ms}},
+      .WallMicros = 1'700'000'000'000'000,
+      .Demand = {{.Service = "s",
+                  .Replicas = 61.5,
+                  .UnservedShare = 0.25,
+                  .Measured = 1500ms,
+                  .Failing = {"r1", "r2"}}}};
   EXPECT_EQ(decodeHeartbeat(encode(Sent)), Sent);
   EXPECT_FALSE(decodeHeartbeat("no beat"));
   const PlacementMessage Messages[] = {
