--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -55,7 +55,8 @@
       "bounds:\n  key_revocation_ms: 5000.5\n  stop_grace_s: 7.5\n"
       "  store_catch_up_ms: 0\n"
       "  retry_share: 0\n  retry_window_s: 2.5\n  retry_floor: 35.8\n"
-      "  cold_overage: 0\n  revoke_when_partitioned: false\n";
+      "  cold_overage: 0\n  revoke_when_partitioned: false\n"
+      "callers:\n  memory_share: 0.25\n  stall_ms: 500.5\n";
   GatewaySettings Read;
   EXPECT_FALSE(errorOf([&]() -> Result<void> {
     BOOST_LEAF_ASSIGN(Read, parseGatewaySettings(Text));
@@ -68,6 +69,8 @@
   EXPECT_DOUBLE_EQ(Read.Bounds.RetryFloor, 35.8);
   EXPECT_FALSE(Read.Bounds.RevokeWhenPartitioned);
   EXPECT_EQ(Read.MemoryMegabytes, 160U);
+  EXPECT_EQ(Read.Callers,
+            (CallerShares{.MemoryShare = 0.25, .StallTime = 500ms}));
 }
 
 TEST(FleetMessages, RoundTripThroughTheirEncoding) {
