--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -83,7 +83,12 @@
            .TakeOutcomes = [this] { return m_state.Rollouts.drainOutcomes(); },
            .Leads = [this] { return leads(); },
            .OnHeartbeat =
-               [this](const Heartbeat &Received) { onHeartbeat(Received); }}),
+               [this](const Heartbeat &Received) { onHeartbeat(Received); },
+           .OnUsage =
+               [this](const policy::UsageCounts &Received) {
+                 if (m_usage)
+                   m_usage->onCounts(Received);
+               }}),
       m_placement(
           {.Loop = Loop,
            .Clk = Clk,
@@ -142,7 +147,37 @@
           [this](const std::shared_ptr<net::ServerExchange> &Exchange) {
             onMetrics(*Exchange);
           }),
-      m_tickTimer(Loop) {}
+      m_tickTimer(Loop) {
+  if (m_settings.Duties && m_settings.Duties->ScalesReplicas)
+    m_scaling.emplace(ScalingControl::Environment{
+        .Clk = Clk,
+        .Log = Log,
+        .Beacon = m_beacon,
+        .State = m_state,
+        .Self = m_settings.Name,
+        .StoreEra =
+            [this] {
+              return m_hooks.LatestProgress ? m_hooks.LatestProgress().Era : 0;
+            },
+        .Demand =
+            [this](const std::string &Service) {
+              return m_placement.demand(Service);
+            }});
+  if (!m_settings.Duties || !m_settings.Duties->ReportsUsage)
+    return;
+  m_usage.emplace(
+      UsageExchange::Environment{
+          .Clk = Clk,
+          .Log = Log,
+          .Beacon = m_beacon,
+          .Self = m_settings.Name,
+          .Boot = m_boot,
+          .Accepts = [this] { return accepts(m_clock.now()); }},
+      *m_settings.Duties);
+  m_callEnvironment.OnRunBegan = [this](const std::string &Workspace) {
+    m_usage->count(Workspace);
+  };
+}
 
 Gateway::~Gateway() = default;
 
@@ -228,18 +263,6 @@
       }));
 }
 
-std::vector<policy::UsageReport> Gateway::dueUsage(TimePoint, std::uint64_t) {
-  return {};
-}
-
-void Gateway::setDutyHolder(std::optional<DaemonName> Holder, std::uint64_t) {
-  m_dutyHolder = std::move(Holder);
-}
-
-std::vector<policy::ReplicaOrder> Gateway::replicaOrders(TimePoint) {
-  return {};
-}
-
 bool Gateway::accepts(TimePoint Now) const {
   const auto Age = m_state.Freshness.age(Now);
   const auto KeyBound = std::chrono::duration_cast<Duration>(
@@ -277,6 +300,8 @@
   if (const auto Age = m_state.Freshness.age(m_clock.now()))
     m_metrics.desiredStateAge(std::chrono::duration<double>(*Age).count());
   m_metrics.connectionsOpened(static_cast<double>(m_pool.opened()));
+  if (m_usage)
+    m_metrics.usageWindowsPending(static_cast<double>(m_usage->pending()));
   m_metrics.logLinesSuppressed(static_cast<double>(m_log.suppressed()));
   Exchange.answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                   m_metrics.text());
@@ -343,6 +368,14 @@
           .Quarantine = m_quarantine.report(Now),
           .Limits = dispatchedLimits(Now),
           .StoreEra = Progress.Era,
+          .WallMicros =
+              m_usage ? std::chrono::duration_cast<std::chrono::microseconds>(
+                            m_clock.wallNow().time_since_epoch())
+                            .count()
+                      : 0,
+          .Demand = m_scaling ? m_scaling->demand()
+                              : std::vector<routing::DemandSummary>{},
+
           .Duties = std::move(Progress.Duties)};
 }
 
@@ -362,6 +395,10 @@
   if (m_state.Rollouts.receive(Received.Boot, Received.Rollouts,
                                Received.Outcomes, Now))
     rolloutsChanged();
+  if (m_usage)
+    m_usage->onHeartbeat(Received);
+  if (m_scaling)
+    m_scaling->onHeartbeat(Received);
   if (m_hooks.OnHeartbeat)
     m_hooks.OnHeartbeat(Received);
 }
@@ -381,6 +418,29 @@
   m_beacon.sendNow();
 }
 
+std::vector<policy::UsageReport> Gateway::dueUsage(TimePoint Now,
+                                                   std::uint64_t After) {
+  return m_usage ? m_usage->due(Now, After)
+                 : std::vector<policy::UsageReport>{};
+}
+
+void Gateway::setDutyHolder(std::optional<DaemonName> Holder,
+                            std::uint64_t LastDecidedWindow) {
+  m_dutyHolder = Holder;
+  if (m_usage)
+    m_usage->setHolder(std::move(Holder), LastDecidedWindow);
+}
+
+std::vector<policy::ReplicaOrder> Gateway::replicaOrders(TimePoint) {
+  return m_scaling ? m_scaling->orders() : std::vector<policy::ReplicaOrder>{};
+}
+
+void Gateway::setReplicaOrders(
+    const std::vector<policy::ReplicaOrder> &InForce) {
+  if (m_scaling)
+    m_scaling->setOrders(InForce);
+}
+
 std::vector<DispatcherCandidate> Gateway::candidates() {
   std::vector<DispatcherCandidate> Out;
   const TimePoint Now = m_clock.now();
@@ -502,6 +562,10 @@
   const TimePoint Now = m_clock.now();
   m_lag.tick(Now);
   m_placement.setLag(m_lag.mean());
+  if (m_usage)
+    m_usage->tick();
+  if (m_scaling)
+    m_scaling->tick();
   m_shedder.tick(m_lag.mean());
   if (Now - m_lastLoadLog >= LoadLogInterval)
     logLoad(Now);
@@ -568,6 +632,8 @@
       return;
     }
   }
+  if (m_usage)
+    m_usage->sendLast();
   m_log.line(LogClass::State, "daemon.stopped",
              {{"cut", std::to_string(m_front.activeRequests())}});
   m_hooks.OnStopped();
