--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -112,12 +112,12 @@
   /// Of the store to which Revisions belong; it increases when the store is
   /// restored from a copy. 0: none is known.
   std::uint64_t StoreEra = 0;
-  /// What the sender knows of the duties; empty unless it reads their object.
-  policy::DutyView Duties{};
   /// The sender's wall clock in microseconds since 1970; 0: not sent.
   std::int64_t WallMicros = 0;
   /// Of the services that this daemon places and whose replicas are scaled.
   std::vector<routing::DemandSummary> Demand;
+  /// What the sender knows of the duties; empty unless it reads their object.
+  policy::DutyView Duties{};
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -312,9 +312,9 @@
          std::move(Quarantine),
          std::move(Limits),
          B.StoreEra,
-         json::array({B.Duties.Holder, B.Duties.Epoch, B.Duties.Decided}),
          B.WallMicros,
-         std::move(Demand)};
+         std::move(Demand),
+         json::array({B.Duties.Holder, B.Duties.Epoch, B.Duties.Decided})};
   return toMsgpack(Out);
 }
 
@@ -367,15 +367,15 @@
              .PerSecond = optionalRate(Entry, 2).value_or(0.0),
              .Age = std::max(decodeTime(Entry.at(3)), Milliseconds(0))});
     B.StoreEra = optionalField<std::uint64_t>(V, 18);
-    if (V.size() > 19)
-      B.Duties = {.Holder = V.at(19).at(0).get<std::string>(),
-                  .Epoch = V.at(19).at(1).get<std::uint64_t>(),
-                  .Decided = V.at(19).at(2).get<std::uint64_t>()};
-    B.WallMicros = std::clamp<std::int64_t>(optionalField<std::int64_t>(V, 20),
+    B.WallMicros = std::clamp<std::int64_t>(optionalField<std::int64_t>(V, 19),
                                             0, MaxWallMicros);
-    if (V.size() > 21)
-      for (const json &Entry : V.at(21))
+    if (V.size() > 20)
+      for (const json &Entry : V.at(20))
         B.Demand.push_back(decodeDemand(Entry));
+    if (V.size() > 21)
+      B.Duties = {.Holder = V.at(21).at(0).get<std::string>(),
+                  .Epoch = V.at(21).at(1).get<std::uint64_t>(),
+                  .Decided = V.at(21).at(2).get<std::uint64_t>()};
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -391,14 +391,15 @@
           .Quarantine = m_quarantine.report(Now),
           .Limits = dispatchedLimits(Now),
           .StoreEra = Progress.Era,
-          .Duties = std::move(Progress.Duties),
           .WallMicros =
               m_usage ? std::chrono::duration_cast<std::chrono::microseconds>(
                             m_clock.wallNow().time_since_epoch())
                             .count()
                       : 0,
           .Demand = m_scaling ? m_scaling->demand()
-                              : std::vector<routing::DemandSummary>{}};
+                              : std::vector<routing::DemandSummary>{},
+
+          .Duties = std::move(Progress.Duties)};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
