Take system calls and instructions out of connections and answers

Counts showed six setsockopt calls for each accepted connection, one write each for the head and the body of an answer, and log lines and counters of refusals that cost more than the decision. Accepted sockets now inherit their options from the listening one. Writes of one answer or event are kept by a WriteBatch and leave together. Log lines that the rate limit drops are not formatted, counters are looked up once, field names are compared without a call for each byte, and forwarded fields are copied once less.

Weighed and not done: one accept for each turn saves a call for a single connection, but a late loop would accept one connection for each of its turns.

--- a/include/nutmegdrift/base/decision_log.h
+++ b/include/nutmegdrift/base/decision_log.h
@@ -54,6 +54,11 @@
   void line(LogClass Class, std::string_view Event,
             std::initializer_list<Field> Fields);
 
+  /// Whether a line of the class would be dropped now because of the rate
+  /// limit. It then counts as dropped. For lines that come in such numbers that
+  /// their text would cost more than the decision they report.
+  [[nodiscard]] bool suppress(LogClass Class);
+
   /// Lines dropped because of the rate limit or a full pipe.
   [[nodiscard]] std::uint64_t suppressed() const { return m_suppressed; }
 
@@ -65,7 +70,9 @@
     std::uint64_t Suppressed = 0; ///< Since the last line written of the class.
   };
 
-  bool consumeToken(Bucket &Source);
+  /// Whether a line may be written.
+  bool refill(Bucket &Source);
+  void countSuppressed(Bucket &Source);
 
   const Clock &m_clock;
   const std::string m_process;
--- a/include/nutmegdrift/gateway/call.h
+++ b/include/nutmegdrift/gateway/call.h
@@ -105,6 +105,8 @@
   /// The error if no replica is left; says when a paused one accepts requests.
   [[nodiscard]] Error noReplicaError() const;
   void onBody(std::string_view Body);
+  /// Passes a part of a stream on to the caller.
+  void passOn(std::string_view Body);
   /// Counts the bytes that are held back. False if they are too many.
   bool countHeld();
   void onEnd();
--- a/include/nutmegdrift/net/byte_stream.h
+++ b/include/nutmegdrift/net/byte_stream.h
@@ -38,7 +38,8 @@
   };
 
   ByteStream(EventLoop &Loop, Listener &Owner);
-  /// Takes over an accepted socket. Call startReading() afterwards. Bytes that
+  /// Takes over a socket that a TcpListener accepted. Call startReading()
+  /// afterwards. Bytes that
   /// are not sent yet count towards Unsent, if it isn't null.
   ByteStream(TcpSocket Socket, Listener &Owner,
              std::shared_ptr<BufferBudget> Unsent = nullptr);
@@ -68,11 +69,14 @@
   void reset();
 
 private:
+  friend class WriteBatch;
+
   void waitReadable();
   void readAvailable();
   /// The result of a recv() that leaves the bytes unread.
   ssize_t peek();
   void flush();
+  void flushBatch();
   void waitWritable();
   void end(StreamEnd Reason);
   void shutdownWhenFlushed();
@@ -94,6 +98,21 @@
   bool m_waitingWritable = false;
   bool m_finishing = false;
   bool m_resetUnlessFinished = false;
+  int m_batches = 0; ///< Present WriteBatch objects.
+};
+
+/// While it exists, written bytes are kept, so that they leave in one write at
+/// its end.
+class WriteBatch {
+public:
+  /// A null stream is left alone.
+  explicit WriteBatch(std::shared_ptr<ByteStream> Stream);
+  ~WriteBatch();
+  WriteBatch(const WriteBatch &) = delete;
+  WriteBatch &operator=(const WriteBatch &) = delete;
+
+private:
+  const std::shared_ptr<ByteStream> m_stream;
 };
 
 } // namespace nutmegdrift::net
--- a/include/nutmegdrift/net/event_loop.h
+++ b/include/nutmegdrift/net/event_loop.h
@@ -49,7 +49,8 @@
 /// Disables Nagle's algorithm and sets keep-alive probes and TCP_USER_TIMEOUT,
 /// so that an unresponsive peer is detected even on an idle connection. Options
 /// that the system rejects are skipped.
-void tuneSocket(TcpSocket &Socket, const KeepAlive &Probes = {});
+void tuneSocket(TcpSocket::native_handle_type Socket,
+                const KeepAlive &Probes = {});
 
 /// Runs the loop until it is stopped. An exception of a callback is passed to
 /// OnError and the loop continues: it must not end what other callers wait for.
--- a/include/nutmegdrift/net/http_server.h
+++ b/include/nutmegdrift/net/http_server.h
@@ -28,6 +28,8 @@
   void begin(int Status, HeaderList Headers,
              std::optional<std::uint64_t> Length);
   void write(std::string_view Bytes);
+  /// Until its end, what is written here is kept to leave in one write.
+  [[nodiscard]] WriteBatch batch() const;
   void finish();
   /// Resets the connection, so that a started answer can't appear complete.
   void abort();
--- a/include/nutmegdrift/net/timer_queue.h
+++ b/include/nutmegdrift/net/timer_queue.h
@@ -52,7 +52,8 @@
 public:
   using SteadyTime = TimerEntry::SteadyTime;
   using key_type = TimerQueue;
-  static boost::asio::execution_context::id id;
+  /// Asio looks up a service by a member of this name.
+  static boost::asio::execution_context::id id; // NOLINT
 
   /// Longest time by which a callback is late to share a wake-up with others.
   static constexpr Duration MaxSlack = std::chrono::milliseconds(10);
--- a/src/nutmegdrift/base/decision_log.cpp
+++ b/src/nutmegdrift/base/decision_log.cpp
@@ -42,27 +42,37 @@
                         .Refilled = Clk.now()};
 }
 
-bool DecisionLog::consumeToken(Bucket &Source) {
+bool DecisionLog::refill(Bucket &Source) {
   const TimePoint Now = m_clock.now();
   const double Elapsed =
       std::chrono::duration<double>(Now - Source.Refilled).count();
   Source.Refilled = Now;
   Source.Tokens = std::min(Source.Tokens + Elapsed * Source.PerSecond,
                            Source.PerSecond * BurstSeconds);
-  if (Source.Tokens < 1.0)
+  return Source.Tokens >= 1.0;
+}
+
+void DecisionLog::countSuppressed(Bucket &Source) {
+  ++Source.Suppressed;
+  ++m_suppressed;
+}
+
+bool DecisionLog::suppress(LogClass Class) {
+  Bucket &ClassBucket = m_buckets[Class];
+  if (refill(ClassBucket))
     return false;
-  Source.Tokens -= 1.0;
+  countSuppressed(ClassBucket);
   return true;
 }
 
 void DecisionLog::line(LogClass Class, std::string_view Event,
                        std::initializer_list<Field> Fields) {
   Bucket &ClassBucket = m_buckets[Class];
-  if (!consumeToken(ClassBucket)) {
-    ++ClassBucket.Suppressed;
-    ++m_suppressed;
+  if (!refill(ClassBucket)) {
+    countSuppressed(ClassBucket);
     return;
   }
+  ClassBucket.Tokens -= 1.0;
   const auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(
                           m_clock.wallNow().time_since_epoch())
                           .count();
@@ -81,8 +91,7 @@
     ClassBucket.Suppressed = 0;
     return;
   }
-  ++ClassBucket.Suppressed;
-  ++m_suppressed;
+  countSuppressed(ClassBucket);
 }
 
 DecisionLog::Sink nonBlockingSink(int Descriptor) {
--- a/src/nutmegdrift/gateway/call.cpp
+++ b/src/nutmegdrift/gateway/call.cpp
@@ -338,16 +338,17 @@
     answerError(m_lastError);
     return;
   }
-  m_env.Log.line(
-      LogClass::Request, "request.refused",
-      {{"request", m_metadata.Id},
-       {"route", m_route->Name},
-       {"workspace", m_workspace ? *m_workspace : ""},
-       {"dispatcher", m_env.ModelPlacement.dispatcherOf(m_service)},
-       {"waited_ms", millisText(Decision.Waited)},
-       {"predicted_ms", millisText(Decision.PredictedFirstToken)},
-       {"prompt_tokens", std::to_string(m_metadata.PromptTokens)},
-       {"retry_after_ms", std::to_string(Decision.RetryAfter.count())}});
+  if (!m_env.Log.suppress(LogClass::Request))
+    m_env.Log.line(
+        LogClass::Request, "request.refused",
+        {{"request", m_metadata.Id},
+         {"route", m_route->Name},
+         {"workspace", m_workspace ? *m_workspace : ""},
+         {"dispatcher", m_env.ModelPlacement.dispatcherOf(m_service)},
+         {"waited_ms", millisText(Decision.Waited)},
+         {"predicted_ms", millisText(Decision.PredictedFirstToken)},
+         {"prompt_tokens", std::to_string(m_metadata.PromptTokens)},
+         {"retry_after_ms", std::to_string(Decision.RetryAfter.count())}});
   answerError({.Kind = ErrorKind::DeadlineUnreachable,
                .Message = "no replica can begin the answer in time",
                .RetryAfter = Decision.RetryAfter});
--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -282,6 +282,18 @@
     }
     m_passThrough = true;
   }
+  passOn(Body);
+  countHeld();
+  const std::size_t MaxUnsent =
+      std::min(MaxUnsentBytes, m_env.Buffers->allowance());
+  if (m_exchange->unsentBytes() > MaxUnsent && m_connection && m_reading) {
+    m_reading = false;
+    m_connection->pauseReading();
+  }
+}
+
+void Call::passOn(std::string_view Body) {
+  const net::WriteBatch Batch = m_exchange->batch();
   if (!m_streaming)
     beginStream();
   if (m_cutEvents) {
@@ -295,13 +307,6 @@
   } else {
     m_exchange->write(Body);
   }
-  countHeld();
-  const std::size_t MaxUnsent =
-      std::min(MaxUnsentBytes, m_env.Buffers->allowance());
-  if (m_exchange->unsentBytes() > MaxUnsent && m_connection && m_reading) {
-    m_reading = false;
-    m_connection->pauseReading();
-  }
 }
 
 bool Call::countHeld() {
@@ -527,16 +532,17 @@
     Row = &answerFor(Reported.Kind);
   }
   m_env.Metrics.requestRefused(Reported.Kind);
-  m_env.Log.line(
-      LogClass::Request, "request.answered",
-      {{"request", m_metadata.Id},
-       {"error", std::string(Row->Name)},
-       {"status", std::to_string(Row->HttpStatus)},
-       {"message", Reported.Message},
-       {"route", m_route ? m_route->Name : ""},
-       {"state_version",
-        m_table ? std::to_string(m_table->state().Version) : "0"},
-       {"held_ms", millisText(m_env.Clk.now() - m_exchange->received())}});
+  if (!m_env.Log.suppress(LogClass::Request))
+    m_env.Log.line(
+        LogClass::Request, "request.answered",
+        {{"request", m_metadata.Id},
+         {"error", std::string(Row->Name)},
+         {"status", std::to_string(Row->HttpStatus)},
+         {"message", Reported.Message},
+         {"route", m_route ? m_route->Name : ""},
+         {"state_version",
+          m_table ? std::to_string(m_table->state().Version) : "0"},
+         {"held_ms", millisText(m_env.Clk.now() - m_exchange->received())}});
   if (m_streaming) {
     m_exchange->abort();
     finish();
--- a/src/nutmegdrift/gateway/gateway_metrics.cpp
+++ b/src/nutmegdrift/gateway/gateway_metrics.cpp
@@ -7,6 +7,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
+
 namespace nutmegdrift::gateway {
 
 namespace {
@@ -57,6 +59,10 @@
       Latency.Add({{"of", "first-byte"}}, latencyBuckets());
   prometheus::Histogram &PlacementWait =
       Latency.Add({{"of", "placement"}}, latencyBuckets());
+  /// Counters of the families by label, since a look-up by labels costs more
+  /// than the rest of a refusal's bookkeeping.
+  std::map<int, prometheus::Counter *> ServedByStatus;
+  std::map<ErrorKind, prometheus::Counter *> RefusedByKind;
   prometheus::Gauge &DesiredStateAge =
       Gauges.Add({{"name", "desired-state-age-seconds"}});
   prometheus::Gauge &OpenedConnections =
@@ -75,12 +81,18 @@
 }
 
 void GatewayMetrics::requestServed(int Status) {
-  m_impl->Served.Add({{"status", std::to_string(Status)}}).Increment();
+  prometheus::Counter *&Counter = m_impl->ServedByStatus[Status];
+  if (!Counter)
+    Counter = &m_impl->Served.Add({{"status", std::to_string(Status)}});
+  Counter->Increment();
 }
 
 void GatewayMetrics::requestRefused(ErrorKind Kind) {
-  m_impl->Refused.Add({{"kind", std::string(answerFor(Kind).Name)}})
-      .Increment();
+  prometheus::Counter *&Counter = m_impl->RefusedByKind[Kind];
+  if (!Counter)
+    Counter =
+        &m_impl->Refused.Add({{"kind", std::string(answerFor(Kind).Name)}});
+  Counter->Increment();
 }
 
 void GatewayMetrics::callerDisconnected() { m_impl->Disconnected.Increment(); }
--- a/src/nutmegdrift/net/byte_stream.cpp
+++ b/src/nutmegdrift/net/byte_stream.cpp
@@ -36,7 +36,6 @@
       m_listener(&Owner), m_outShare(std::move(Unsent)), m_connected(true) {
   boost::system::error_code Ignored;
   m_socket.non_blocking(true, Ignored);
-  tuneSocket(m_socket);
 }
 
 void ByteStream::connect(const HostPort &Peer, Duration Timeout) {
@@ -68,7 +67,7 @@
         }
         boost::system::error_code Ignored;
         Self->m_socket.non_blocking(true, Ignored);
-        tuneSocket(Self->m_socket);
+        tuneSocket(Self->m_socket.native_handle());
         Self->m_connected = true;
         Self->m_listener->onConnected();
         Self->startReading();
@@ -134,11 +133,27 @@
     return;
   const bool WasEmpty = m_out.empty();
   m_out.append(Bytes);
-  if (m_connected && WasEmpty)
+  if (m_connected && WasEmpty && m_batches == 0)
     flush();
   m_outShare.hold(m_out.capacity());
 }
 
+WriteBatch::WriteBatch(std::shared_ptr<ByteStream> Stream)
+    : m_stream(std::move(Stream)) {
+  if (m_stream)
+    ++m_stream->m_batches;
+}
+
+WriteBatch::~WriteBatch() {
+  if (m_stream && --m_stream->m_batches == 0)
+    m_stream->flushBatch();
+}
+
+void ByteStream::flushBatch() {
+  if (m_listener && m_connected && !m_out.empty() && !m_waitingWritable)
+    flush();
+}
+
 void ByteStream::flush() {
   auto Self = shared_from_this();
   std::size_t Sent = 0;
--- a/src/nutmegdrift/net/event_loop.cpp
+++ b/src/nutmegdrift/net/event_loop.cpp
@@ -20,18 +20,17 @@
   m_queue.add(m_entry, Delay, Duration{0}, std::move(Callback));
 }
 
-void tuneSocket(TcpSocket &Socket, const KeepAlive &Probes) {
-  boost::system::error_code Ignored;
-  Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
-  Socket.set_option(boost::asio::socket_base::keep_alive(true), Ignored);
-  auto Set = [Handle = Socket.native_handle()](int Option, int Value) {
-    ::setsockopt(Handle, IPPROTO_TCP, Option, &Value, sizeof(Value));
+void tuneSocket(TcpSocket::native_handle_type Socket, const KeepAlive &Probes) {
+  auto Set = [Socket](int Level, int Option, int Value) {
+    ::setsockopt(Socket, Level, Option, &Value, sizeof(Value));
   };
-  Set(TCP_KEEPIDLE, static_cast<int>(Probes.Idle.count()));
-  Set(TCP_KEEPINTVL, static_cast<int>(Probes.Interval.count()));
-  Set(TCP_KEEPCNT, Probes.Probes);
+  Set(IPPROTO_TCP, TCP_NODELAY, 1);
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(Probes.Idle.count()));
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(Probes.Interval.count()));
+  Set(IPPROTO_TCP, TCP_KEEPCNT, Probes.Probes);
   const auto Total = Probes.Idle + Probes.Interval * Probes.Probes;
-  Set(TCP_USER_TIMEOUT,
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT,
       static_cast<int>(std::chrono::milliseconds(Total).count()));
 }
 
--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
-#include <cctype>
 
 namespace nutmegdrift::net {
 
@@ -14,14 +13,27 @@
 using ErrorCode = boost::beast::error_code;
 using Text = boost::beast::string_view;
 
+namespace {
+
+/// ASCII only, as field names are; std::tolower() is a call for each byte.
+constexpr char lowerCase(char Letter) {
+  return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter + 32)
+                                        : Letter;
+}
+
+} // namespace
+
 bool equalIgnoringCase(std::string_view A, std::string_view B) {
-  return std::equal(A.begin(), A.end(), B.begin(), B.end(), [](char X, char Y) {
-    return std::tolower(static_cast<unsigned char>(X)) ==
-           std::tolower(static_cast<unsigned char>(Y));
-  });
+  return A.size() == B.size() &&
+         std::equal(A.begin(), A.end(), B.begin(), [](char X, char Y) {
+           return X == Y || lowerCase(X) == lowerCase(Y);
+         });
 }
 
 void HeaderList::add(std::string Name, std::string Value) {
+  constexpr std::size_t UsualFields = 8;
+  if (m_fields.empty())
+    m_fields.reserve(UsualFields);
   m_fields.push_back({std::move(Name), std::move(Value)});
 }
 
--- a/src/nutmegdrift/net/http_server.cpp
+++ b/src/nutmegdrift/net/http_server.cpp
@@ -92,6 +92,9 @@
     m_stream->resetUnlessFinished();
   }
   ByteStream &stream() { return *m_stream; }
+  [[nodiscard]] std::shared_ptr<ByteStream> sharedStream() const {
+    return m_stream;
+  }
 
   void onAnswered() {
     auto Self = shared_from_this();
@@ -233,12 +236,20 @@
 
 void ServerExchange::answer(int Status, HeaderList Headers,
                             std::string_view Body) {
-  begin(Status, std::move(Headers), Body.size());
-  if (m_request.Method != "HEAD")
-    write(Body);
+  {
+    const WriteBatch Batch = batch();
+    begin(Status, std::move(Headers), Body.size());
+    if (m_request.Method != "HEAD")
+      write(Body);
+  }
   finish();
 }
 
+WriteBatch ServerExchange::batch() const {
+  const auto Connection = m_connection.lock();
+  return WriteBatch(Connection ? Connection->sharedStream() : nullptr);
+}
+
 void ServerExchange::begin(int Status, HeaderList Headers,
                            std::optional<std::uint64_t> Length) {
   const auto Connection = m_connection.lock();
--- a/src/nutmegdrift/net/tcp_listener.cpp
+++ b/src/nutmegdrift/net/tcp_listener.cpp
@@ -17,6 +17,9 @@
                           Failed);
   if (!Failed)
     m_acceptor.bind(*Endpoint, Failed);
+  // Accepted sockets inherit the options.
+  if (!Failed)
+    tuneSocket(m_acceptor.native_handle());
   if (!Failed)
     m_acceptor.listen(Backlog, Failed);
   if (!Failed)
