Lower the dispatcher weight of a daemon without spare processor time

A VM with 0.12 of a core got 2,300 of 4,222 requests in two seconds and could still be the dispatcher of the fleet, because the weight in its heartbeat was its share whatever its load. policy::SpareProcessor compares the processor time of the process with the share each half second: above 0.9 for one second the weight is halved, below 0.5 for five seconds it is the share again. A calm daemon's weight is exactly its share, so nothing changes where no VM is overloaded.

The replays in spare_processor_test show it: bursts change nothing, and ten waves of the load make one change. Not measured on a deployment.

--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "nutmegdrift/gateway/call.h"
 #include "nutmegdrift/gateway/loop_lag.h"
+#include "nutmegdrift/policy/spare_processor.h"
 
 namespace nutmegdrift::gateway {
 
@@ -84,6 +85,7 @@
   void tick();
   void logLoad(TimePoint Now);
   void checkStopped();
+  void observeProcessor(TimePoint Now);
   /// See FleetBeacon::Hooks.
   [[nodiscard]] bool leads();
   [[nodiscard]] double retryFloor();
@@ -120,6 +122,7 @@
   TimePoint m_lastSweep{};
   LoopLag m_lag{StateFreshness::TickInterval};
   policy::LoadShedder m_shedder;
+  policy::SpareProcessor m_spareProcessor{m_settings.ProcessorShare};
   TimePoint m_lastLoadLog{};
   std::uint64_t m_loggedRequests = 0; ///< Started until m_lastLoadLog.
   TimePoint m_lastOutcomeBroadcast{}; ///< By an extra heartbeat.
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "nutmegdrift/gateway/gateway.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace nutmegdrift::gateway {
@@ -31,6 +32,14 @@
 /// for requests, connections, the fleet's state, and what the allocator keeps.
 constexpr double BufferMemoryShare = 0.25;
 
+/// Of this process since its start.
+Duration processorTime() {
+  timespec Used{};
+  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Used);
+  return std::chrono::seconds(Used.tv_sec) +
+         std::chrono::nanoseconds(Used.tv_nsec);
+}
+
 std::size_t bufferBytes(const GatewaySettings &Settings) {
   constexpr double Megabyte = 1024.0 * 1024.0;
   return static_cast<std::size_t>(Settings.MemoryMegabytes * Megabyte *
@@ -308,7 +317,7 @@
           .Internal = m_settings.Internal,
           .Ready = accepts(Now),
           .Stopping = m_state.Stopping,
-          .Weight = m_settings.ProcessorShare,
+          .Weight = m_spareProcessor.weight(),
           .StateVersion = m_state.Table ? m_state.Table->state().Version : 0,
           .StateAge = Age ? std::chrono::duration_cast<Milliseconds>(*Age) +
                                 Milliseconds(1)
@@ -362,7 +371,7 @@
   if (!m_state.Stopping)
     Out.push_back(
         {.Name = m_settings.Name,
-         .Weight = std::max(m_settings.ProcessorShare, MinDispatchWeight)});
+         .Weight = std::max(m_spareProcessor.weight(), MinDispatchWeight)});
   for (const auto &[Name, Peer] : m_beacon.view().members())
     if (m_beacon.view().alive(Peer, Now) && Peer.Status.Ready &&
         !Peer.Status.Stopping)
@@ -498,6 +507,7 @@
     replicasChanged();
   if (Now - m_lastSweep >= SweepInterval) {
     m_lastSweep = Now;
+    observeProcessor(Now);
     updateRetryFloors();
     m_state.Limits.expire(Now);
     m_pool.sweep(m_state.Replicas);
@@ -509,6 +519,15 @@
     checkStopped();
 }
 
+void Gateway::observeProcessor(TimePoint Now) {
+  const bool Before = m_spareProcessor.overloaded();
+  m_spareProcessor.observe(processorTime(), Now);
+  if (m_spareProcessor.overloaded() != Before)
+    m_log.line(LogClass::State, "daemon.weight_changed",
+               {{"overloaded", Before ? "no" : "yes"},
+                {"weight", std::to_string(m_spareProcessor.weight())}});
+}
+
 void Gateway::stop() {
   if (m_state.Stopping)
     return;
