--- a/include/nutmegdrift/routing/model_dispatcher.h
+++ b/include/nutmegdrift/routing/model_dispatcher.h
@@ -9,6 +9,7 @@
 #include "nutmegdrift/routing/part_crashes.h"
 #include "nutmegdrift/routing/replica_limits.h"
 #include "nutmegdrift/routing/replica_table.h"
+#include "nutmegdrift/routing/wait_limit.h"
 
 #include <optional>
 #include <set>
@@ -231,6 +232,9 @@
     /// wait here, and other engines would become idle.
     Duration Reserved{0};
     std::size_t ReservedSlots = 0;
+    /// Memory for these requests. Without it, smaller requests would take the
+    /// memory for which a large one waits, again and again.
+    std::uint64_t ReservedTokens = 0;
     bool Usable = true;  ///< False: kept until its requests have ended.
     bool Canary = false; ///< See Replica::CanaryShare.
   };
@@ -273,6 +277,10 @@
   void updateFairShare(TimePoint Now);
   /// Whether the next request may go to a canary replica.
   [[nodiscard]] bool canaryIsNext() const;
+  /// Share of the engine's memory that it lacks for the request beside those on
+  /// it and those that wait for it. An idle engine lacks nothing.
+  [[nodiscard]] double memoryExcess(const Engine &Candidate,
+                                    const ModelRequest &Request) const;
   [[nodiscard]] bool accepts(Engine &Candidate, const QueuedRequest &Queued,
                              TimePoint Now) const;
   [[nodiscard]] double tokensPerMs(TimePoint Now) const;
@@ -322,6 +330,7 @@
   std::uint64_t m_pumps = 0;
   double m_load = 0.0; ///< Share of the engines that are busy reading.
   FairShare m_shares;
+  WaitLimit m_waitLimit;
   std::unordered_map<RequestKey, ReplicaId> m_engineByRequest;
   PartCrashes m_partCrashes;
   /// Refused requests by the id of their last prompt part, with the time until
--- a/src/nutmegdrift/routing/model_dispatcher.cpp
+++ b/src/nutmegdrift/routing/model_dispatcher.cpp
@@ -40,10 +40,6 @@
 /// Lower bound of a rate that a replica named, in requests per second, for the
 /// computation of waiting times.
 constexpr double MinLimit = 0.01;
-/// A prompt that can't be read within the target may take its reading time plus
-/// this to the first token.
-constexpr Duration LargePromptSlack = std::chrono::milliseconds(250);
-
 /// Requests that will arrive later and go first, as a share of those that wait.
 constexpr double LaterRequests = 0.5;
 
@@ -188,6 +184,19 @@
                                m_dueOnCanaries + m_canaryShare + DueRounding;
 }
 
+double ModelDispatcher::memoryExcess(const Engine &Candidate,
+                                     const ModelRequest &Request) const {
+  const EngineEstimate &Estimate = Candidate.Estimate;
+  const double Memory = static_cast<double>(Estimate.traits().KvTokens) *
+                        m_options.MemoryShare * m_options.Share;
+  if (Memory <= 0.0 || Estimate.requests() == 0)
+    return 0.0;
+  const std::uint64_t Needed = Estimate.heldTokens() +
+                               Candidate.ReservedTokens + Request.PromptTokens +
+                               Request.OutputTokens;
+  return std::max(static_cast<double>(Needed) / Memory - 1.0, 0.0);
+}
+
 bool ModelDispatcher::accepts(Engine &Candidate, const QueuedRequest &Queued,
                               TimePoint Now) const {
   const EngineEstimate &Estimate = Candidate.Estimate;
@@ -196,12 +205,7 @@
   const double Slots = std::max(1.0, Estimate.traits().Slots * m_options.Share);
   if (static_cast<double>(Estimate.requests()) >= Slots)
     return false;
-  const double Memory = static_cast<double>(Estimate.traits().KvTokens) *
-                        m_options.MemoryShare * m_options.Share;
-  const double Needed =
-      static_cast<double>(Estimate.heldTokens() + Queued.Request.PromptTokens +
-                          Queued.Request.OutputTokens);
-  if (Memory > 0 && Needed > Memory && Estimate.requests() > 0)
+  if (memoryExcess(Candidate, Queued.Request) > 0.0)
     return false;
   if (Now < Candidate.ColdUntil && m_coldPerSecond > 0) {
     Candidate.Cold.refill(m_coldPerSecond * m_options.ColdShare, Now);
@@ -254,12 +258,15 @@
   const Duration SlotWait =
       limitWait(Candidate, Candidate.ReservedSlots) +
       slotWait(Estimate, Candidate.ReservedSlots, m_options.Share);
+  const Duration MemoryWait =
+      scaled(Estimate.meanResidenceTime(),
+             std::min(memoryExcess(Candidate, Request), 1.0));
   const Duration ReservedWait = Candidate.Reserved + SlotWait -
                                 limitWait(Candidate, 0) -
                                 slotWait(Estimate, 0, m_options.Share);
   const Duration Waiting =
       scaled(Estimate.backlog(Now), 1.0 / m_options.Share) +
-      Candidate.Reserved + SlotWait +
+      Candidate.Reserved + SlotWait + MemoryWait +
       scaled(Estimate.overdue(Now), OverdueWeight);
   const Duration FirstToken = Waiting + Reading + Estimate.overhead();
   const Duration RemainingTime =
@@ -554,7 +561,7 @@
   if (Request.Repeated)
     return Request.FirstTokenDeadline - Request.Arrived;
   const Duration Target =
-      std::max(Request.FirstTokenTarget, Reading + LargePromptSlack);
+      WaitLimit::firstToken(Request.FirstTokenTarget, Reading);
   Duration MissedTargetWait = Queued.Returned ? m_options.MissedTargetWait * 2
                                               : m_options.MissedTargetWait;
   if (m_shares.isUnderserved(Queue.Account, Now))
@@ -584,14 +591,19 @@
                 Best.Destination->Estimate.tokensPerMs()
           : Queued.Request.PromptTokens;
   Queued.ReadingTokens = Tokens;
+  Queued.LastPredictedReading = Best.Reading;
+  if (Best.Destination)
+    m_waitLimit.observe(Queued.Request.FirstTokenTarget, Best.Reading);
   // The queued requests have reserved engine time in the last pump, too.
   const Duration Ahead = expectedWait(Queue, Queued, Now);
   const Duration Wait =
       Ahead - scaled(std::min(Ahead, Best.ReservedWait), 1.0 - LaterRequests);
+  Duration Limit = queueWaitLimit(Queued, Queue, Best.Reading, Now);
+  if (!Queued.Request.Repeated && FairShare::isUnmet(Queue.Account, Now))
+    Limit -= m_waitLimit.surplus(Queued.Request.FirstTokenTarget, Best.Reading);
   const bool Unreachable =
       !Best.Destination ||
-      (Now - Queued.Request.Arrived) + Wait + Best.FirstToken >
-          queueWaitLimit(Queued, Queue, Best.Reading, Now);
+      (Now - Queued.Request.Arrived) + Wait + Best.FirstToken > Limit;
   if (Unreachable)
     return refuse(Queued, Wait + Best.FirstToken, Now);
   Queue.QueuedTokens += Tokens;
@@ -697,19 +709,22 @@
   struct QueueEntry {
     std::size_t Index;
     bool FirstAttempt; ///< Not a retry after a refusal.
-    TimePoint Due;
+    TimePoint LatestStart;
   };
   std::vector<QueueEntry> Entries;
   for (std::size_t I = 0; I < Queue.Items.size(); ++I) {
-    const ModelRequest &Request = Queue.Items[I].Request;
-    Entries.push_back({.Index = I,
-                       .FirstAttempt = !Queue.Items[I].Returned,
-                       .Due = Request.Arrived + Request.FirstTokenTarget});
+    const QueuedRequest &Queued = Queue.Items[I];
+    Entries.push_back(
+        {.Index = I,
+         .FirstAttempt = !Queued.Returned,
+         .LatestStart = Queued.Request.Arrived +
+                        WaitLimit::waiting(Queued.Request.FirstTokenTarget,
+                                           Queued.LastPredictedReading)});
   }
   std::sort(Entries.begin(), Entries.end(),
             [](const QueueEntry &A, const QueueEntry &B) {
-              return std::tie(A.FirstAttempt, A.Due) <
-                     std::tie(B.FirstAttempt, B.Due);
+              return std::tie(A.FirstAttempt, A.LatestStart) <
+                     std::tie(B.FirstAttempt, B.LatestStart);
             });
   std::size_t Tried = 0;
   for (const QueueEntry &Entry : Entries) {
@@ -724,7 +739,9 @@
       continue;
     const bool MeetsTarget =
         Queued.Request.Repeated ||
-        (!Queued.Returned && Now + Best.FirstToken <= Entry.Due);
+        (!Queued.Returned &&
+         Now + Best.FirstToken <=
+             Queued.Request.Arrived + Queued.Request.FirstTokenTarget);
     if (!MeetsTarget && !TargetMissed) {
       Queued.LateInPump = m_pumps;
       continue;
@@ -735,6 +752,8 @@
       Queued.LastPredictedReading = Best.Reading;
       Best.Destination->Reserved += Best.Reading;
       ++Best.Destination->ReservedSlots;
+      Best.Destination->ReservedTokens +=
+          Queued.Request.PromptTokens + Queued.Request.OutputTokens;
       if (++Tried >= MaxItemsTried)
         return false;
       continue;
@@ -820,6 +839,7 @@
   for (auto &[Id, Tracked] : m_engines) {
     Tracked.Reserved = Duration{0};
     Tracked.ReservedSlots = 0;
+    Tracked.ReservedTokens = 0;
   }
   rankEngines(Now);
   if (m_queued == 0)
