Say which figures of the load replay are assumed

Cause: comments of the replay and of WaitLimit took assumed figures for those of the plan, and said one in thirty where the computation gives one in forty. No code changes. Measured: routing_test passes.

--- a/include/nutmegdrift/routing/wait_limit.h
+++ b/include/nutmegdrift/routing/wait_limit.h
@@ -24,8 +24,8 @@
   /// Weight of the newest reading time in the moving mean. The last hundred
   /// count most.
   static constexpr double Smoothing = 0.01;
-  /// Reading time of a large prompt, relative to the mean. One in thirty
-  /// prompts of the replay in heavy_load_test.cpp is larger.
+  /// Reading time of a large prompt, relative to the mean. By computation, one
+  /// in forty of the sizes in load_replay.h is larger.
   static constexpr double LargePrompt = 4.0;
   /// Share of the target for which a new request may always wait.
   static constexpr double MinShare = 0.2;
--- a/src/nutmegdrift/routing/load_replay.h
+++ b/src/nutmegdrift/routing/load_replay.h
@@ -18,7 +18,8 @@
   Duration Target = std::chrono::milliseconds(400);
 };
 
-/// Figures without a reason beside them are those of docs/plan.md, part D.
+/// Sizes, reading rates and speeds are those of docs/plan.md, part D. The spread
+/// of sizes, memory, output time and numbers of workspaces are assumed.
 struct ReplayedDay {
   std::vector<ReplayedWorkspace> Workspaces;
   /// Offered prompt tokens, relative to what the engines can read within
@@ -136,8 +137,8 @@
   static constexpr double MeanTokens = 12000.0;
   static constexpr double MaxTokens = 69000.0;
   static constexpr double SizeSpread = 0.9; ///< Of the logarithm of sizes.
-  /// Chosen so that memory, as on the page, can be full before the reading
-  /// time is used up: on the fast engines it holds 23 requests of mean size.
+  /// Assumed: room for 23 requests of mean size, so that memory can be full
+  /// before the reading time is used up.
   static constexpr std::uint64_t KvTokens = 300000;
   static constexpr unsigned Slots = 64;
   static constexpr std::uint32_t OutputTokens = 150;
