--- a/src/nutmegdrift/routing/load_replay.h
+++ b/src/nutmegdrift/routing/load_replay.h
@@ -18,8 +18,8 @@
   Duration Target = std::chrono::milliseconds(400);
 };
 
-/// Sizes, reading rates and speeds are those of docs/plan.md, part D. The spread
-/// of sizes, memory, output time and numbers of workspaces are assumed.
+/// Sizes, reading rates and speeds are those of docs/plan.md, part D. The
+/// spread of sizes, memory, output time and numbers of workspaces are assumed.
 struct ReplayedDay {
   std::vector<ReplayedWorkspace> Workspaces;
   /// Offered prompt tokens, relative to what the engines can read within
