Order no replicas before the first requests

Change: a service counts as known once there has been a significant demand. Result: NothingIsOrderedBeforeTheFirstRequests fails before and passes after; ReplicaScaler 15 of 15.

--- a/include/nutmegdrift/policy/replica_scaler.h
+++ b/include/nutmegdrift/policy/replica_scaler.h
@@ -43,8 +43,9 @@
 class ReplicaScaler {
 public:
   struct Options {
-    /// The load is a wave with this period and this swing around its mean.
-    /// Until a whole period was seen, the crest to come is bounded by them.
+    /// The longest period and the largest swing around its mean of a regular
+    /// load that is planned for; no deployment has stated more. Until a whole
+    /// period was seen, the crest to come is bounded by them.
     Duration Period = std::chrono::seconds(11);
     double Swing = 0.27;
     /// Part of the replicas' capacity that the crest of the demand may use.
@@ -141,6 +142,7 @@
   };
   struct Track {
     std::map<DaemonName, std::pair<DemandReport, TimePoint>> Reports;
+    bool Requested = false;     ///< There has been a significant demand.
     std::deque<Sample> Samples; ///< Of the last period.
     std::optional<TimePoint> KnownSince;
     std::optional<TimePoint> CompleteSince; ///< Without any gap.
--- a/src/nutmegdrift/policy/replica_scaler.cpp
+++ b/src/nutmegdrift/policy/replica_scaler.cpp
@@ -52,7 +52,11 @@
     Unserved += Report.UnservedShare * Report.Replicas;
     Partial = Partial || Report.Measured < MinMeasured;
   }
-  if (!Known || HeardShare < MinHeard) {
+  // Before the first requests, replicas may still register: their number says
+  // nothing, and no demand has been measured.
+  if (Known && std::max(Current, Missing) >= SignificantDemand)
+    Tracked.Requested = true;
+  if (!Known || HeardShare < MinHeard || !Tracked.Requested) {
     Tracked.CompleteSince.reset();
     if (HeardShare < MinHeard)
       Tracked.KnownSince.reset();
--- a/src/nutmegdrift/policy/replica_scaler_test.cpp
+++ b/src/nutmegdrift/policy/replica_scaler_test.cpp
@@ -111,6 +111,29 @@
   double Shortest = 1e9; ///< Lowest ratio of serving replicas to demand.
 };
 
+// While replicas still registered, the 34 of 47 that were listed in a zone were
+// raised to the minimum of 39, which stopped eight of them before the first
+// request.
+TEST(ReplicaScaler, NothingIsOrderedBeforeTheFirstRequests) {
+  ReplicaScaler Scaler;
+  TimePoint Now{1000s};
+  const auto Run = [&](unsigned Present, double Demand, Duration Length) {
+    for (const TimePoint End = Now + Length; Now < End;
+         Now += ReplicaScaler::SampleInterval) {
+      Scaler.report("s", "d1", {.Replicas = Demand, .Measured = 10s}, Now);
+      Scaler.update(
+          Now, 1.0,
+          {{.Service = "s",
+            .Bounds = {.Minimum = 39, .Maximum = Maximum, .Startup = Startup},
+            .Zones = {{"a", {.Present = Present}}}}});
+    }
+  };
+  Run(34, 0.0, 10s);
+  Run(47, 0.0, 3s);
+  Run(47, 36.0, 2s);
+  EXPECT_TRUE(Scaler.orders().empty());
+}
+
 // Guards against paying for unused replicas, and against removing in the wave's
 // low point what its next crest needs, wherever in the wave the service starts.
 TEST(ReplicaScaler, AWaveKeepsWhatItsCrestNeeds) {
