Measure the lag of the loop behind what is ready

Cause: since timers of a loop are one queue, they fire between two handlers, and the tick whose delay is the lag no longer waited for the handlers that were ready. Change: the tick waits in turn, behind all ready handlers and those that the next look for I/O finds. The test shows the order of calls; it does not show the lag itself.

--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -148,6 +148,8 @@
   bool m_endedRequests = false; ///< The grace of a planned stop is over.
   TimePoint m_lastSweep{};
   LoopLag m_lag{StateFreshness::TickInterval};
+  /// Expires with the gateway; for net::callInTurn().
+  const std::shared_ptr<void> m_tickOwner = std::make_shared<int>();
   policy::LoadShedder m_shedder;
   policy::SpareProcessor m_spareProcessor{m_settings.ProcessorShare};
   TimePoint m_lastLoadLog{};
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 // Listeners, heartbeats and the shutdown of a gateway daemon.
 #include "nutmegdrift/gateway/gateway.h"
+#include "nutmegdrift/net/call_in_turn.h"
 
 #include <algorithm>
 #include <ctime>
@@ -590,9 +591,10 @@
 
 void Gateway::tick() {
   // Set first, so that an exception below doesn't end the ticks.
-  // Exactly, because the loop's lag is measured by the delay of this tick.
-  m_tickTimer.callExactlyAfter(StateFreshness::TickInterval,
-                               [this] { tick(); });
+  // Exactly and in turn, because the delay of this tick is the loop's lag.
+  m_tickTimer.callExactlyAfter(StateFreshness::TickInterval, [this] {
+    net::callInTurn(m_loop, m_tickOwner, [this] { tick(); });
+  });
   const TimePoint Now = m_clock.now();
   m_lag.tick(Now);
   m_placement.setLag(m_lag.mean());
--- a/src/nutmegdrift/net/timer_queue_test.cpp
+++ b/src/nutmegdrift/net/timer_queue_test.cpp
@@ -1,5 +1,5 @@
 // Tests of timers, with run() and with the event loop's own functions.
-#include "nutmegdrift/net/event_loop.h"
+#include "nutmegdrift/net/call_in_turn.h"
 
 #include <gtest/gtest.h>
 
@@ -111,5 +111,32 @@
 INSTANTIATE_TEST_SUITE_P(Runs, TimerQueueTest,
                          ::testing::Values(&runQueue, &runLoop));
 
+// The lag of a loop was measured by a timer alone, which fires between two
+// handlers: a daemon that was late with all requests took itself for idle.
+TEST(CallInTurn, RunsBehindWhatIsReady) {
+  EventLoop Loop{1};
+  const auto Owner = std::make_shared<int>();
+  std::string Order;
+  boost::asio::post(Loop, [&] {
+    Order += "a";
+    boost::asio::post(Loop, [&] { Order += "b"; });
+  });
+  callInTurn(Loop, Owner, [&] { Order += "t"; });
+  boost::asio::post(Loop, [&] { Order += "c"; });
+  Loop.run();
+  EXPECT_EQ(Order, "acbt");
+}
+
+TEST(CallInTurn, NothingIsCalledOnceTheOwnerIsGone) {
+  EventLoop Loop{1};
+  auto Owner = std::make_shared<int>();
+  bool Called = false;
+  callInTurn(Loop, Owner, [&] { Called = true; });
+  Loop.run_one();
+  Owner.reset();
+  Loop.run();
+  EXPECT_FALSE(Called);
+}
+
 } // namespace
 } // namespace nutmegdrift::net
