--- a/review/common-2/lab.h
+++ b/review/common-2/lab.h
@@ -209,6 +209,7 @@
 struct Arrival {
   double Time;
   std::string Id;
+  bool CarriesKey; ///< The caller's key was passed on.
 };
 
 /// A plain service's replica.
@@ -237,7 +238,8 @@
       return reply(Peer, "421 Misdirected Request", Id, "");
     {
       const std::scoped_lock Lock(m_mutex);
-      m_arrivals.push_back({nowMs(), Id});
+      m_arrivals.push_back(
+          {nowMs(), Id, !Request.field("Authorization").empty()});
     }
     m_record.line("replica " + m_id + " runs " + Id);
     sleepMs(m_workMs);
