--- a/review/common-2/http.h
+++ b/review/common-2/http.h
@@ -116,6 +116,9 @@
     return true;
   }
 
+  /// Whether fill() has found the end of the connection.
+  [[nodiscard]] bool ended() const { return m_ended; }
+
   /// Reads more bytes. False at the end, after a failure or at the time.
   bool fill(double Until) {
     pollfd Wait{.fd = m_socket, .events = POLLIN, .revents = 0};
@@ -124,7 +127,8 @@
       return false;
     char Buffer[16384];
     const ssize_t Count = ::recv(m_socket, Buffer, sizeof Buffer, 0);
-    if (Count <= 0)
+    m_ended = Count <= 0;
+    if (m_ended)
       return false;
     m_in.append(Buffer, static_cast<std::size_t>(Count));
     return true;
@@ -194,6 +198,7 @@
 
   int m_socket;
   std::string m_in;
+  bool m_ended = false;
 };
 
 /// A thread for each connection.
--- a/review/common-2/lab.h
+++ b/review/common-2/lab.h
@@ -77,6 +77,10 @@
   }
   void accept(std::size_t Machine) { m_machines[Machine]->Refused = false; }
 
+  /// The store answers nothing, to any machine, until it continues.
+  void pause() { m_paused = true; }
+  void resume() { m_paused = false; }
+
   /// Creates or replaces an object; returns the time of the ack.
   double put(const std::string &Kind, const std::string &Name, json Value) {
     const std::scoped_lock Lock(m_mutex);
@@ -142,6 +146,13 @@
   bool serve(Machine &From, const Message &Request, Channel &Peer) {
     constexpr double AnswerMs = 4;
     sleepMs(AnswerMs);
+    if (m_paused) {
+      // The channel returns nothing further.
+      while (Peer.fill(nowMs() + 1000) || !Peer.ended())
+        if (m_stopped)
+          break;
+      return false;
+    }
     if (From.Refused)
       return answer(Peer, 503, "");
     const std::string Target = Request.word(1);
@@ -183,8 +194,9 @@
             Events.push_back(
                 {{"object", Each.Object}, {"tombstone", Each.Tombstone}});
         }
-        if (!Events.empty() || nowMs() >= Until)
+        if (!m_paused && (!Events.empty() || nowMs() >= Until))
           break;
+        Events.clear();
         m_changed.wait_for(Lock, std::chrono::milliseconds(10));
       }
     }
@@ -202,6 +214,7 @@
   std::deque<Event> m_events;
   std::uint64_t m_revision = 100;
   std::atomic<bool> m_stopped = false;
+  std::atomic<bool> m_paused = false;
   std::vector<std::unique_ptr<Machine>> m_machines;
 };
 
