Keep the stand-ins of the review's scripts in its first case

Cause: a folder in review/ of this review is a case, and common-2 was none. Change: its files moved to review/6; nothing in the cases changed.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,5 +1,5 @@
 // A zone is evacuated after the platform's store has answered nothing for 8 s.
-#include "../common-2/lab.h"
+#include "lab.h"
 
 #include <iostream>
 
--- a/review/common-2/http.h
+++ b/review/6/http.h
@@ -1,6 +1,6 @@
 // Blocking HTTP/1.1 over loopback sockets, for the stand-ins of the review.
-#ifndef NUTMEGDRIFT_REVIEW_COMMON_2_HTTP_H
-#define NUTMEGDRIFT_REVIEW_COMMON_2_HTTP_H
+#ifndef NUTMEGDRIFT_REVIEW_6_HTTP_H
+#define NUTMEGDRIFT_REVIEW_6_HTTP_H
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/review/common-2/lab.h
+++ b/review/6/lab.h
@@ -1,7 +1,7 @@
 // A small deployment on loopback: daemons as separate processes, and stand-ins
 // for the platform's store, for replicas and for callers.
-#ifndef NUTMEGDRIFT_REVIEW_COMMON_2_LAB_H
-#define NUTMEGDRIFT_REVIEW_COMMON_2_LAB_H
+#ifndef NUTMEGDRIFT_REVIEW_6_LAB_H
+#define NUTMEGDRIFT_REVIEW_6_LAB_H
 
 #include "http.h"
 
@@ -509,7 +509,7 @@
 };
 
 inline json readDeployment(const Arguments &Run) {
-  std::ifstream In(Run.Case + "/../common-2/state.json");
+  std::ifstream In(Run.Case + "/../6/state.json");
   return json::parse(In);
 }
 
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
 // A replica leaves while the platform's store turns the first two machines
 // away.
-#include "../common-2/lab.h"
+#include "../6/lab.h"
 
 #include <iostream>
 
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
 // The desired state takes the last tenant away.
-#include "../common-2/lab.h"
+#include "../6/lab.h"
 
 #include <iostream>
 
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # 1: the rule was broken, 0: it held, 2: the case could not run.
-exec "$(dirname "$0")/../common-2/run-case" 8
+exec "$(dirname "$0")/../6/run-case" 8
