--- a/review/6/lab.h
+++ b/review/6/lab.h
@@ -17,6 +17,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <memory>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -304,6 +305,8 @@
     const std::string Log = m_options.Directory + "/" + name() + ".log";
     m_process = ::fork();
     if (m_process == 0) {
+      // Also if the case itself is killed at its time limit.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(Out, 1);
       ::dup2(Out, 2);
