Let others read the store while it refuses the first two daemons

Cause: what a daemon is told counted as what it sees. The order of readers asks who is ready, and the refused daemons stay ready by confirmations that others pass on; a daemon that confirms the state itself stopped to read at once, because the others repeat its confirmation in their heartbeats.

Change: heartbeats say how the store reaches their sender by its own calls. Daemons without it come last in the order, which also decides who reports roll-outs and who may claim the duties, and only a daemon that reads makes it needless that another one does. policy::ReaderRole decides, without I/O.

All tests of platform passed.

--- a/include/nutmegdrift/gateway/fleet_beacon.h
+++ b/include/nutmegdrift/gateway/fleet_beacon.h
@@ -85,7 +85,7 @@
     /// Outcomes since the last call; they are sent to all daemons.
     std::function<std::vector<RolloutOutcome>()> TakeOutcomes;
     /// Whether the other daemons rely on the status of this one: it dispatches
-    /// a service, or confirms the desired state for the others.
+    /// a service, or reads the store for the others.
     std::function<bool()> Leads;
     std::function<void(const Heartbeat &)> OnHeartbeat;
     /// Unset: usage counts are ignored.
--- a/include/nutmegdrift/gateway/fleet_messages.h
+++ b/include/nutmegdrift/gateway/fleet_messages.h
@@ -5,6 +5,7 @@
 
 #include "nutmegdrift/base/identifiers.h"
 #include "nutmegdrift/policy/duty_lease.h"
+#include "nutmegdrift/policy/store_readers.h"
 #include "nutmegdrift/policy/usage_ledger.h"
 #include "nutmegdrift/policy/version_judge.h"
 #include "nutmegdrift/routing/model_dispatcher.h"
@@ -118,6 +119,8 @@
   std::vector<routing::DemandSummary> Demand;
   /// What the sender knows of the duties; empty unless it reads their object.
   policy::DutyView Duties{};
+  /// By the sender's own calls. Late if sent by an older version.
+  policy::StoreContact Contact = policy::StoreContact::Late;
 
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/include/nutmegdrift/gateway/gateway.h
+++ b/include/nutmegdrift/gateway/gateway.h
@@ -60,11 +60,18 @@
   [[nodiscard]] GatewayMetrics &metrics() { return m_metrics; }
   /// Number of live daemons, this one included.
   [[nodiscard]] std::size_t daemons();
-  /// This daemon's rank in the order in which daemons request a confirmation
-  /// from the store; 0 is first. Daemons that accept requests come first,
-  /// because one that the store rejects stops accepting. In an outage none
-  /// accepts, and names decide.
+  /// How changes in the store reach this daemon by its own calls.
+  void setStoreContact(policy::StoreContact Contact) {
+    m_storeContact = Contact;
+  }
+  /// This daemon's rank in the order in which daemons read the store and
+  /// request a confirmation from it; 0 is first. Daemons come last that the
+  /// store does not answer, as told by their own calls: they may accept
+  /// requests, because the confirmations of the others reach them. Then those
+  /// that accept no requests. In an outage names decide.
   [[nodiscard]] std::size_t confirmationRank();
+  /// Whether the live daemon comes before this one in that order.
+  [[nodiscard]] bool precedes(const Heartbeat &Peer) const;
   /// Usage reports of windows after After that can be decided now, oldest
   /// first. To be called at short intervals while this daemon holds the duties;
   /// empty while it does not know enough. A window of which no live daemon has
@@ -156,6 +163,7 @@
   std::uint64_t m_loggedRequests = 0; ///< Started until m_lastLoadLog.
   TimePoint m_lastOutcomeBroadcast{}; ///< By an extra heartbeat.
   std::optional<DaemonName> m_dutyHolder{};
+  policy::StoreContact m_storeContact = policy::StoreContact::Late;
 };
 
 } // namespace nutmegdrift::gateway
--- a/src/nutmegdrift/gateway/fleet_beacon.cpp
+++ b/src/nutmegdrift/gateway/fleet_beacon.cpp
@@ -64,6 +64,7 @@
   // Rollouts are judged by the outcomes of all daemons.
   return !Current.Rollouts.empty() || Current.Ready != m_last.Ready ||
          Current.Stopping != m_last.Stopping ||
+         Current.Contact != m_last.Contact ||
          !sameSuspects(Current.Suspects, m_last.Suspects);
 }
 
--- a/src/nutmegdrift/gateway/fleet_messages.cpp
+++ b/src/nutmegdrift/gateway/fleet_messages.cpp
@@ -100,6 +100,12 @@
                      .WaitReported = optionalField<bool>(V, 10)}};
 }
 
+policy::StoreContact decodeContact(int Value) {
+  if (Value < 0 || Value > static_cast<int>(policy::StoreContact::Lost))
+    throw std::out_of_range("contact");
+  return static_cast<policy::StoreContact>(Value);
+}
+
 RolloutStatus decodeRolloutStatus(const json &V) {
   const int Stage = V.at(2).get<int>();
   if (Stage < 0 || Stage > static_cast<int>(RolloutStage::RolledBack))
@@ -314,7 +320,8 @@
          B.StoreEra,
          B.WallMicros,
          std::move(Demand),
-         json::array({B.Duties.Holder, B.Duties.Epoch, B.Duties.Decided})};
+         json::array({B.Duties.Holder, B.Duties.Epoch, B.Duties.Decided}),
+         static_cast<int>(B.Contact)};
   return toMsgpack(Out);
 }
 
@@ -376,6 +383,7 @@
       B.Duties = {.Holder = V.at(21).at(0).get<std::string>(),
                   .Epoch = V.at(21).at(1).get<std::uint64_t>(),
                   .Decided = V.at(21).at(2).get<std::uint64_t>()};
+    B.Contact = decodeContact(optionalField<int>(V, 22));
     if (B.Interval < MinInterval || B.Interval > MaxInterval)
       return std::nullopt;
     return B;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -252,9 +252,9 @@
 }
 
 bool Gateway::leads() {
-  constexpr std::size_t ConfirmingDaemons = 2;
   return m_placement.dispatchesAny() || m_dutyHolder == m_settings.Name ||
-         confirmationRank() < ConfirmingDaemons;
+         m_storeContact == policy::StoreContact::Current ||
+         confirmationRank() < policy::ReaderRole::Readers;
 }
 
 double Gateway::retryFloor() {
@@ -276,18 +276,26 @@
 
 std::size_t Gateway::confirmationRank() {
   const TimePoint Now = m_clock.now();
-  const bool Accepts = accepts(Now);
   const auto &Members = m_beacon.view().members();
   return static_cast<std::size_t>(
       std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
-        const Heartbeat &Status = Entry.second.Status;
-        if (!m_beacon.view().alive(Entry.second, Now) || Status.Stopping)
-          return false;
-        return Status.Ready != Accepts ? Status.Ready
-                                       : Status.Daemon < m_settings.Name;
+        return m_beacon.view().alive(Entry.second, Now) &&
+               precedes(Entry.second.Status);
       }));
 }
 
+bool Gateway::precedes(const Heartbeat &Peer) const {
+  using policy::ReaderPlace;
+  using policy::StoreContact;
+  const ReaderPlace Theirs{.LostStore = Peer.Contact == StoreContact::Lost,
+                           .Refusing = !Peer.Ready,
+                           .Daemon = Peer.Daemon};
+  const ReaderPlace Own{.LostStore = m_storeContact == StoreContact::Lost,
+                        .Refusing = !accepts(m_clock.now()),
+                        .Daemon = m_settings.Name};
+  return !Peer.Stopping && Theirs < Own;
+}
+
 bool Gateway::accepts(TimePoint Now) const {
   const auto Age = m_state.Freshness.age(Now);
   const auto KeyBound = std::chrono::duration_cast<Duration>(
@@ -409,7 +417,8 @@
           .Demand = m_scaling ? m_scaling->demand()
                               : std::vector<routing::DemandSummary>{},
 
-          .Duties = std::move(Progress.Duties)};
+          .Duties = std::move(Progress.Duties),
+          .Contact = m_storeContact};
 }
 
 void Gateway::onHeartbeat(const Heartbeat &Received) {
