--- a/include/nutmegdrift/policy/store_readers.h
+++ b/include/nutmegdrift/policy/store_readers.h
@@ -7,9 +7,9 @@
 #include "nutmegdrift/base/clock.h"
 #include "nutmegdrift/base/identifiers.h"
 
-#include <compare>
 #include <optional>
 #include <string_view>
+#include <tuple>
 
 namespace nutmegdrift::policy {
 
@@ -30,7 +30,11 @@
   bool Refusing = false; ///< It accepts no requests.
   DaemonName Daemon;
 
-  friend auto operator<=>(const ReaderPlace &, const ReaderPlace &) = default;
+  friend bool operator==(const ReaderPlace &, const ReaderPlace &) = default;
+  friend bool operator<(const ReaderPlace &A, const ReaderPlace &B) {
+    return std::tie(A.LostStore, A.Refusing, A.Daemon) <
+           std::tie(B.LostStore, B.Refusing, B.Daemon);
+  }
 };
 
 /// Judges by the outcomes of a daemon's calls whether the store answers it.
