Refuse all keys when no workspace is left

Cause: an absent list, which means that there are no keys, and an empty one were one value, and keysRequired() asked whether it had entries.

--- a/bench/processor_cost.cpp
+++ b/bench/processor_cost.cpp
@@ -120,7 +120,7 @@
                    {.Name = "llm",
                     .ConnectionLimit = 100,
                     .Engine = {{.Slots = 16, .KvTokens = KvTokens}}}},
-      .Workspaces = {{.Name = "w", .Keys = {Key}}},
+      .Workspaces = {{{.Name = "w", .Keys = {Key}}}},
       .Limits = {}};
   State.Routes = {{.Name = "plain",
                    .Host = platform::SampleHost,
--- a/include/nutmegdrift/routing/desired_state.h
+++ b/include/nutmegdrift/routing/desired_state.h
@@ -114,7 +114,8 @@
   std::uint64_t Version = 0;
   std::vector<Route> Routes;
   std::vector<Service> Services;
-  std::vector<Workspace> Workspaces; ///< Empty: requests carry no keys.
+  /// Absent: requests carry no keys. Empty: no key is valid.
+  std::optional<std::vector<Workspace>> Workspaces;
   CallerLimits Limits;
 
   friend bool operator==(const DesiredState &, const DesiredState &) = default;
@@ -136,7 +137,7 @@
   /// The workspace that the key belongs to; null if it is unknown.
   [[nodiscard]] const std::string *workspaceOf(const std::string &Key) const;
   [[nodiscard]] bool keysRequired() const {
-    return !m_state.Workspaces.empty();
+    return m_state.Workspaces.has_value();
   }
   /// Picks a service of the route by weight; Draw is uniform in [0, 1).
   [[nodiscard]] static const std::string &pickService(const Route &MatchedRoute,
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -102,8 +102,8 @@
   const routing::DesiredState &State = m_fleet.Operations->state();
   const routing::Route &Route =
       State.Routes[m_fleet.Rng() % State.Routes.size()];
-  const routing::Workspace &Owner =
-      State.Workspaces[m_fleet.Rng() % State.Workspaces.size()];
+  const std::vector<routing::Workspace> &Owners = State.Workspaces.value();
+  const routing::Workspace &Owner = Owners[m_fleet.Rng() % Owners.size()];
   const bool Model = routing::isStream(Route.Kind);
   const Milliseconds Deadline = Model ? StreamDeadline : PlainDeadline;
   m_request = {.Id = m_name + "-" + std::to_string(++m_count),
--- a/soak/operator.cpp
+++ b/soak/operator.cpp
@@ -44,9 +44,10 @@
       {.Name = ModelService,
        .ConnectionLimit = 200,
        .Engine = routing::EngineTraits{.Slots = 8, .KvTokens = 400000}}};
+  std::vector<routing::Workspace> &Owners = m_state.Workspaces.emplace();
   for (unsigned I = 0; I < Workspaces; ++I) {
     const std::string Name = "w" + std::to_string(I);
-    m_state.Workspaces.push_back({.Name = Name, .Keys = {"key-" + Name}});
+    Owners.push_back({.Name = Name, .Keys = {"key-" + Name}});
     m_checker.Workspaces["key-" + Name] = Name;
   }
   write();
@@ -77,8 +78,8 @@
 }
 
 void Operator::replaceKey(Random &Rng) {
-  routing::Workspace &Owner =
-      m_state.Workspaces[Rng() % m_state.Workspaces.size()];
+  std::vector<routing::Workspace> &Owners = m_state.Workspaces.value();
+  routing::Workspace &Owner = Owners[Rng() % Owners.size()];
   const std::string Old = Owner.Keys.front();
   const std::string New = "key-" + std::to_string(++m_names) + "-" + Owner.Name;
   m_checker.Workspaces[New] = Owner.Name;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -513,7 +513,9 @@
   m_log.line(LogClass::State, "state.applied",
              {{"version", std::to_string(State.Version)},
               {"routes", std::to_string(State.Routes.size())},
-              {"workspaces", std::to_string(State.Workspaces.size())}});
+              {"workspaces", State.Workspaces
+                                 ? std::to_string(State.Workspaces->size())
+                                 : std::string("none")}});
   m_state.Table =
       std::make_shared<const routing::RoutingTable>(std::move(State));
   applyLimits();
--- a/src/nutmegdrift/gateway/gateway_fixture.h
+++ b/src/nutmegdrift/gateway/gateway_fixture.h
@@ -165,7 +165,7 @@
             .MaxReplicas = Replicas};
   }
   void apply(std::uint64_t Version = 1,
-             std::vector<routing::Workspace> Workspaces = {}) {
+             std::optional<std::vector<routing::Workspace>> Workspaces = {}) {
     using routing::RequestKind;
     Daemon->setDesiredState(
         {.Version = Version,
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -453,24 +453,39 @@
 TEST_F(GatewayFixture, KeysNeedAConfirmationOfTheStore) {
   // Without it a revoked key would be accepted on a VM that is cut off from the
   // store.
-  apply(1, {{.Name = "w", .Keys = {"k"}}});
+  apply(1, {{{.Name = "w", .Keys = {"k"}}}});
   auto &Only = replica(answerDone);
   EXPECT_EQ(call("/safe/x", {{"Key", "k"}}).Status, 503);
   Daemon->stateConfirmed(Clk.now());
   EXPECT_EQ(call("/safe/x", {{"Key", "k"}}).Status, 200);
   EXPECT_EQ(Only.LastHeaders.find("Workspace"), "w");
   EXPECT_EQ(call("/safe/x", {{"Key", "other"}}).Status, 401);
-  apply(2, {{.Name = "w", .Keys = {"k2"}}});
+  apply(2, {{{.Name = "w", .Keys = {"k2"}}}});
   EXPECT_EQ(call("/safe/x", {{"Key", "k"}}).Status, 401);
 }
 
+// The last workspace was taken away, and with it every key: revoked and unknown
+// keys were accepted, and passed on to replicas.
+TEST_F(GatewayFixture, WithoutAWorkspaceNoKeyIsValid) {
+  apply(1, {{{.Name = "w", .Keys = {"k"}}}});
+  auto &Only = replica(answerDone);
+  Daemon->stateConfirmed(Clk.now());
+  EXPECT_EQ(call("/safe/x", {{"Key", "k"}}).Status, 200);
+  apply(2, std::vector<routing::Workspace>{});
+  const auto RunBefore = Only.Requests;
+  for (const char *Key : {"k", "other"})
+    EXPECT_EQ(call("/safe/x", {{"Key", Key}}).Status, 401) << Key;
+  EXPECT_EQ(call("/safe/x").Status, 401);
+  EXPECT_EQ(Only.Requests, RunBefore);
+}
+
 // Where revocation need not hold behind a partition, refusing all keys in an
 // outage of the store would only take service away.
 TEST_F(GatewayFixture, KeysAreTrustedInAnOutageWhereTheDeploymentAllowsIt) {
   GatewaySettings Trusting = Settings;
   Trusting.Bounds.RevokeWhenPartitioned = false;
   Daemon->reload(Trusting);
-  apply(1, {{.Name = "w", .Keys = {"k"}}});
+  apply(1, {{{.Name = "w", .Keys = {"k"}}}});
   replica(answerDone);
   EXPECT_EQ(call("/safe/x", {{"Key", "k"}}).Status, 200);
   EXPECT_EQ(call("/safe/x", {{"Key", "other"}}).Status, 401);
@@ -753,7 +768,7 @@
 // attempt sent the request on a permission that had run out.
 TEST_F(GatewayFixture, APausedProcessDoesNotUseAnExpiredPermission) {
   RouteTimeout = 60s;
-  apply(1, {{.Name = "w", .Keys = {"k"}}});
+  apply(1, {{{.Name = "w", .Keys = {"k"}}}});
   Daemon->stateConfirmed(Clk.now());
   auto PauseAndRefuse = [this](net::ServerExchange &Exchange) {
     Clk.pause(Settings.Bounds.KeyRevocation + 100ms);
@@ -769,10 +784,10 @@
 }
 
 TEST_F(GatewayFixture, AKeyThatIsRevokedWhileARequestWaitsIsNotUsed) {
-  apply(1, {{.Name = "w", .Keys = {"k"}}});
+  apply(1, {{{.Name = "w", .Keys = {"k"}}}});
   Daemon->stateConfirmed(Clk.now());
   auto RevokeAndRefuse = [this](net::ServerExchange &Exchange) {
-    apply(2, {{.Name = "w", .Keys = {"k2"}}});
+    apply(2, {{{.Name = "w", .Keys = {"k2"}}}});
     net::HeaderList Out = answerHeaders(Exchange);
     Out.add("Not-Run", "1");
     Exchange.answer(503, Out, "");
--- a/src/nutmegdrift/gateway/usage_exchange_test.cpp
+++ b/src/nutmegdrift/gateway/usage_exchange_test.cpp
@@ -65,7 +65,7 @@
          .Routes = {route("/once/", routing::RequestKind::RunOnce),
                     route("/stream/", routing::RequestKind::Stream), Open},
          .Services = {Target},
-         .Workspaces = {{.Name = "w", .Keys = {"k"}}}});
+         .Workspaces = {{{.Name = "w", .Keys = {"k"}}}}});
   }
   /// Requests of all windows that the daemon reports within some seconds.
   std::map<std::string, std::uint64_t> reported() {
--- a/src/nutmegdrift/routing/desired_state.cpp
+++ b/src/nutmegdrift/routing/desired_state.cpp
@@ -25,7 +25,9 @@
                      [](const Route *A, const Route *B) {
                        return A->PathPrefix.size() > B->PathPrefix.size();
                      });
-  for (const Workspace &Owner : m_state.Workspaces)
+  if (!m_state.Workspaces)
+    return;
+  for (const Workspace &Owner : *m_state.Workspaces)
     for (const std::string &Key : Owner.Keys)
       m_workspaceByKey.emplace(Key, &Owner.Name);
 }
