Refuse a service's answer whose status is none of HTTP

Cause: POCO takes any number as a status, and the endpoint client passed it on. Beside it, an interim answer (102, 103) counted as the final one.

Change: a status that is not one of 200 to 599 is a failure of the endpoint, 502 with state unknown, also if the answer says that the request was not run. Interim answers are skipped, at most eight.

Tests: AStatusThatIsNoFinalStatusIsAFailure (12 of 12 forms) and InterimAnswersAreSkipped failed before and pass.

--- a/fakes/fake_service.cpp
+++ b/fakes/fake_service.cpp
@@ -44,8 +44,17 @@
                    HTTPServerResponse &Response) {
   const auto Connected =
       State.connectedSince(Request.clientAddress().toString());
+  const auto Raw = State.faults().RawAnswer;
+  if (!Raw.empty() && State.faults().RawEarly) {
+    State.end(State.begin(Request), "raw");
+    return sendRaw(Request, Raw, true);
+  }
   const auto Body = readBody(Request);
   const auto Index = State.begin(Request);
+  if (!Raw.empty()) {
+    State.end(Index, "raw");
+    return sendRaw(Request, Raw, false);
+  }
   if (crashedOn(State, Request, Index, Body))
     return;
   if (State.drawError(Request.get("X-Workspace", ""))) {
--- a/fakes/fake_support.h
+++ b/fakes/fake_support.h
@@ -106,6 +106,11 @@
   std::string OnlyVersion;    ///< "only_version": slow and errors only on this.
   int CutAfterTokens = -1;    ///< "cut_after_tokens": below 0 is off. A service
                               ///< counts bytes.
+  /// "raw_answer": bytes that a service sends as its answer; empty: off.
+  std::string RawAnswer;
+  /// "raw_early": the bytes are sent before the body of the request is read,
+  /// and then the connection is reset.
+  bool RawEarly = false;
   bool IgnoreFencing = false; ///< "ignore_fencing": takes any order.
   Millis LoadLag{0};          ///< "load_lag_ms": age of what GET /load reports.
   Millis Order{0};            ///< "order_ms": time that an order takes.
@@ -123,6 +128,8 @@
   F.ErrorWorkspace = In.value("error_workspace", F.ErrorWorkspace);
   F.OnlyVersion = In.value("only_version", F.OnlyVersion);
   F.CutAfterTokens = In.value("cut_after_tokens", F.CutAfterTokens);
+  F.RawAnswer = In.value("raw_answer", F.RawAnswer);
+  F.RawEarly = In.value("raw_early", F.RawEarly);
   F.IgnoreFencing = In.value("ignore_fencing", F.IgnoreFencing);
   F.LoadLag = Millis(In.value("load_lag_ms", F.LoadLag.count()));
   F.Order = Millis(In.value("order_ms", F.Order.count()));
@@ -387,6 +394,23 @@
   }
 }
 
+/// Sends bytes that need not be an answer, and ends the connection.
+inline void sendRaw(HTTPServerRequest &Request, const std::string &Bytes,
+                    bool Reset) {
+  try {
+    auto &Socket = socketOf(Request);
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    if (Reset) {
+      Socket.setLinger(true, 0);
+      Socket.close();
+    } else {
+      Socket.shutdownSend();
+    }
+  } catch (const Poco::Exception &) { // The peer closed it first.
+    return;
+  }
+}
+
 /// Whether the peer has closed the connection.
 inline bool peerClosed(HTTPServerRequest &Request) {
   try {
--- a/include/nutmegdrift/proxy/endpoint_session.h
+++ b/include/nutmegdrift/proxy/endpoint_session.h
@@ -22,7 +22,8 @@
   void open(const Poco::Net::SocketAddress &Address,
             const Poco::Timespan &Timeout);
 
-  /// Receives the head and prepares the body. Throws Poco exceptions.
+  /// Receives the head of the final answer and prepares the body. The status
+  /// may be any number. Throws Poco exceptions.
   void receiveHead(Poco::Net::HTTPResponse &Response);
 
   /// The next bytes of the body, empty at its end. Throws
--- a/src/nutmegdrift/proxy/endpoint_client.cpp
+++ b/src/nutmegdrift/proxy/endpoint_client.cpp
@@ -34,6 +34,12 @@
   return std::clamp(Left, std::chrono::milliseconds(1), Bound);
 }
 
+/// RFC 9110, section 15: other numbers are no status of a final answer.
+bool isFinalStatus(int Status) {
+  constexpr int MaxStatus = 599;
+  return Status >= HTTPResponse::HTTP_OK && Status <= MaxStatus;
+}
+
 /// The state of one run; its methods throw Poco exceptions.
 class Run {
 public:
@@ -50,6 +56,11 @@
     BOOST_LEAF_CHECK(send());
     HTTPResponse Response;
     m_session.receiveHead(Response);
+    if (!isFinalStatus(Response.getStatus()))
+      return fail(ErrorKind::EndpointFailed,
+                  m_slot.replica().Id + " answered with " +
+                      std::to_string(Response.getStatus()) +
+                      ", which is no final status");
     if (Response.get(RunStateHeader, "") == NotRunValue)
       return fail(ErrorKind::EndpointRefused,
                   m_slot.replica().Id + " did not start the request");
--- a/src/nutmegdrift/proxy/endpoint_session.cpp
+++ b/src/nutmegdrift/proxy/endpoint_session.cpp
@@ -9,6 +9,15 @@
 
 namespace {
 constexpr std::size_t MaxChunkLine = 256;
+/// Interim answers before the final one; more are no sound answer.
+constexpr int MaxInterimAnswers = 8;
+
+/// Whether another answer to the same request follows. An answer with 101
+/// would be the last one in HTTP, and no request asks for it.
+bool isInterim(int Status) {
+  return Status > Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS &&
+         Status < Poco::Net::HTTPResponse::HTTP_OK;
+}
 } // namespace
 
 void EndpointSession::open(const Poco::Net::SocketAddress &Address,
@@ -21,6 +30,8 @@
 
 void EndpointSession::receiveHead(Poco::Net::HTTPResponse &Response) {
   receiveResponse(Response);
+  for (int I = 0; I < MaxInterimAnswers && isInterim(Response.getStatus()); ++I)
+    receiveResponse(Response);
   const auto Status = Response.getStatus();
   m_firstChunk = true;
   m_ended = Status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
--- a/tests/whole_answer_test.cpp
+++ b/tests/whole_answer_test.cpp
@@ -99,6 +99,11 @@
                .Timeout = CallTimeout});
 }
 
+std::string field(const HttpAnswer &Answer, const char *Name) {
+  const auto Body = Answer.json();
+  return Body.is_object() ? Body.value(Name, "") : "";
+}
+
 class WholeAnswer : public ::testing::Test {
 protected:
   WholeAnswer() {
@@ -202,6 +207,48 @@
   }
 }
 
+// A service in trouble answered with the status 000 and others that HTTP does
+// not have, and the caller got them as answers.
+TEST_F(WholeAnswer, AStatusThatIsNoFinalStatusIsAFailure) {
+  for (const char *Status : {"0", "000", "099", "101", "600", "999"}) {
+    for (const char *Body :
+         {"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n"
+                                         "2\r\nok\r\n0\r\n\r\n"}) {
+      LoopbackFleet::faults(m_fleet.endpoint(1),
+                            {{"raw_answer", std::string("HTTP/1.1 ") + Status +
+                                                " OK\r\n" + Body}});
+      const auto Answer = ask(m_fleet.daemon(0), "body");
+      EXPECT_EQ(Answer.Status, 502) << Status << " " << Body;
+      EXPECT_EQ(field(Answer, "state"), "unknown") << Status << " " << Body;
+    }
+  }
+}
+
+// An interim answer is none of the final ones, of which one follows.
+TEST_F(WholeAnswer, InterimAnswersAreSkipped) {
+  const std::string Final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  std::string Interim;
+  for (const char *Status : {"100 Continue", "102 Processing", "103 Hints"})
+    Interim += std::string("HTTP/1.1 ") + Status + "\r\n\r\n";
+  LoopbackFleet::faults(m_fleet.endpoint(1), {{"raw_answer", Interim + Final}});
+  const auto Answer = ask(m_fleet.daemon(0), "body");
+  EXPECT_EQ(Answer.Status, 200) << Answer.Body;
+  EXPECT_EQ(Answer.Body, "ok");
+}
+
+// A service answered a long upload at once, without a length, and reset the
+// connection: the part that arrived must not pass for the whole.
+TEST_F(WholeAnswer, AnEarlyAnswerWithoutALengthThatIsResetIsAFailure) {
+  LoopbackFleet::faults(
+      m_fleet.endpoint(1),
+      {{"raw_early", true}, {"raw_answer", "HTTP/1.1 200 OK\r\n\r\npart"}});
+  constexpr std::size_t UploadBytes = 1U << 19U;
+  for (std::size_t I = 0; I < Daemons; ++I) {
+    const auto Answer = ask(m_fleet.daemon(I), std::string(UploadBytes, 'x'));
+    EXPECT_EQ(Answer.Status, 502) << Answer.Body;
+  }
+}
+
 // A connection that goes silent for good must be given up after its progress
 // deadline while new connections to the same endpoint work.
 TEST_F(WholeAnswer, SilentStreamEndsWhileNewOnesWork) {
