Leave the outcome of a write open unless the store refused it

Found while looking for the cause of the status 000 on other paths: the client of the store in nutmegd took each status below 500 for a refusal. A conditional write answered with 000, 099, 101 or 302 was reported as without effect (InvalidDocument), so its writer did not read back.

Change: only 400 to 499 are refusals; any other status but 200 leaves the outcome of a write open.

Test: AStatusThatIsNoRefusalLeavesTheOutcomeOfAWriteOpen failed before in 4 of 6 forms and passes; the tests of the module passed.

--- a/src/nutmegdrift/platform/http_object_store.cpp
+++ b/src/nutmegdrift/platform/http_object_store.cpp
@@ -138,7 +138,9 @@
   default:
     break;
   }
-  if (Status < HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
+  // Only these are refusals; a write with another answer may have taken effect.
+  if (Status >= HTTPResponse::HTTP_BAD_REQUEST &&
+      Status < HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
     return {ErrorKind::InvalidDocument, Text};
   return {Write ? ErrorKind::PlatformOutcomeUnknown
                 : ErrorKind::PlatformUnavailable,
--- a/src/nutmegdrift/platform/http_object_store_test.cpp
+++ b/src/nutmegdrift/platform/http_object_store_test.cpp
@@ -144,5 +144,27 @@
   }
 }
 
+// Other numbers than those of a refusal say nothing of a write. Taken for one,
+// a write that took effect was reported as failed.
+TEST(HttpObjectStore, AStatusThatIsNoRefusalLeavesTheOutcomeOfAWriteOpen) {
+  for (const char *Status : {"000", "099", "101", "302", "600", "999"}) {
+    Poco::Net::ServerSocket Socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    std::jthread Server([&] {
+      auto Peer = Socket.acceptConnection();
+      std::array<char, 4096> Request{};
+      Peer.receiveBytes(Request.data(), Request.size());
+      const std::string Answer = std::string("HTTP/1.1 ") + Status +
+                                 " No\r\nContent-Length: 0\r\n\r\n";
+      Peer.sendBytes(Answer.data(), static_cast<int>(Answer.size()));
+      Peer.shutdownSend();
+    });
+    HttpObjectStore Store({.Address = {"127.0.0.1", Socket.address().port()},
+                           .CallTimeout = 500ms});
+    const auto Failure = errorOf([&] { return Store.put("k", "v", 1); });
+    ASSERT_TRUE(Failure) << Status;
+    EXPECT_EQ(Failure->Kind, ErrorKind::PlatformOutcomeUnknown) << Status;
+  }
+}
+
 } // namespace
 } // namespace nutmegdrift::platform
