--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -106,7 +106,8 @@
                   .Replicas = 61.5,
                   .UnservedShare = 0.25,
                   .Measured = 1500ms,
-                  .Failing = {"r1", "r2"}}}};
+                  .Failing = {"r1", "r2"}}},
+      .Contact = policy::StoreContact::Lost};
   EXPECT_EQ(decodeHeartbeat(encode(Sent)), Sent);
   EXPECT_FALSE(decodeHeartbeat("no beat"));
   const PlacementMessage Messages[] = {
@@ -184,6 +185,9 @@
   Heartbeat Rollout = Value;
   Rollout.Rollouts = {{.Service = "s", .Version = "v2"}};
   EXPECT_TRUE(Schedule.due(Rollout, 195, false, Start + 500ms));
+  Heartbeat Lost = Value;
+  Lost.Contact = policy::StoreContact::Lost;
+  EXPECT_TRUE(Schedule.due(Lost, 195, false, Start + 500ms));
 }
 
 // A daemon that announces a long interval is not lost in between, and one that
@@ -292,6 +296,9 @@
   EXPECT_FALSE(decodeHeartbeat(encode(Invalid)));
   EXPECT_FALSE(decodeHeartbeat(encode({.Daemon = "d", .Interval = 0ms})));
   EXPECT_FALSE(decodeHeartbeat(encode({.Daemon = "d", .Interval = 1h})));
+  const auto NoContact = static_cast<policy::StoreContact>(
+      static_cast<int>(policy::StoreContact::Lost) + 1);
+  EXPECT_FALSE(decodeHeartbeat(encode({.Daemon = "d", .Contact = NoContact})));
 }
 
 TEST(StateFreshness, MessagesReceivedDuringAStallAreIgnored) {
