--- a/include/nutmegdrift/policy/store_readers.h
+++ b/include/nutmegdrift/policy/store_readers.h
@@ -61,7 +61,7 @@
   /// A daemon that has just started doesn't know its rank, and the watches of
   /// all daemons that start together would be current.
   static constexpr Duration DiscoveryTime = std::chrono::seconds(2);
-  /// A daemon becomes a reader once its rank has been low for this long. In an
+  /// A daemon becomes a reader once it is among the first for this long. In an
   /// outage daemons notice the loss one after another, and those that notice it
   /// last are first in the order for a moment.
   static constexpr Duration PromotionDelay = std::chrono::milliseconds(500);
@@ -73,9 +73,9 @@
 
   enum class Reason {
     JustStarted,
-    FirstInOrder,
-    NoKnownReader, ///< The store answers, and no other daemon reads.
-    OtherReader,   ///< As before, but a daemon before this one reads.
+    FirstInOrder,  ///< Among the first Readers for PromotionDelay.
+    NoKnownReader, ///< The store answers this daemon, and no earlier one reads.
+    OtherReader,   ///< The store answers this daemon, but an earlier one reads.
     NotFirst,
   };
   struct Decision {
@@ -89,7 +89,8 @@
 
   /// The store has answered this daemon's own question for the newest state.
   void confirmedHere(TimePoint Now) { m_confirmed = Now; }
-  /// The store answers no calls of this daemon, see StoreReach.
+  /// The store answers no calls of this daemon, see StoreReach: an earlier
+  /// confirmation no longer says that it would.
   void lostStore() { m_confirmed.reset(); }
   /// A heartbeat of a daemon that is before this one in the order.
   void heardEarlier(StoreContact Contact, TimePoint Now);
@@ -99,8 +100,8 @@
 private:
   TimePoint m_started;
   std::optional<TimePoint> m_confirmed;   ///< By this daemon.
-  std::optional<TimePoint> m_readerHeard; ///< Heartbeat of another reader.
-  std::optional<TimePoint> m_firstSince;  ///< Set while the rank is low.
+  std::optional<TimePoint> m_readerHeard; ///< Heartbeat of an earlier reader.
+  std::optional<TimePoint> m_firstSince;  ///< Set while among the first.
 };
 
 /// "just started", "first in order", "no known reader", "another daemon reads"
