Follow silences of the store by changes in the soak

The random faults of the soak disturb the store so often that a change after a silence was hardly ever checked, the fake store never ended a watch after its wait, and there were no evacuations.

--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -53,7 +53,8 @@
       << "  internal: " << Port(InternalPort)
       << "  metrics: " << Port(MetricsPort) << "store: \""
       << toString(m_store.address())
-      << "\"\nprocessor_share: 0.25\nbounds:\n  key_revocation_ms: 5000\n"
+      << "\"\nstore_history_s: 20\nprocessor_share: 0.25\nbounds:\n  "
+         "key_revocation_ms: 5000\n"
       << "  stop_grace_ms: " << StopGrace.count() << "000\n"
       << "  directory_ttl_s: 2\n  retry_share: 0.2\n  retry_window_s: 10\n"
       << "  retry_floor: 56\nseeds:\n";
@@ -66,7 +67,7 @@
     return;
   writeSettings();
   m_process.emplace(
-      NUTMEGDRIFT_BINARIES "/platform/nutmegd-platform",
+      m_options.Program,
       std::vector<std::string>{"--settings",
                                m_options.Directory + "/" + name() + ".yaml"},
       m_options.Directory + "/" + name() + ".log",
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -15,6 +15,9 @@
   /// From SIGTERM to SIGKILL.
   static constexpr std::chrono::seconds StopGrace{8};
 
+  static constexpr char BuiltProgram[] =
+      NUTMEGDRIFT_BINARIES "/platform/nutmegd-platform";
+
   struct Options {
     std::string Name;
     std::string Host; ///< A loopback address of its own.
@@ -22,6 +25,7 @@
     std::vector<std::string> Seeds; ///< Hosts of other daemons.
     HostPort Store;
     std::string Directory; ///< For settings and logs.
+    std::string Program;
   };
 
   DaemonProcess(net::EventLoop &Loop, const Clock &Clk, Disturbances &Disturbed,
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -2,20 +2,20 @@
 #ifndef NUTMEGDRIFT_SOAK_FAULT_INJECTOR_H
 #define NUTMEGDRIFT_SOAK_FAULT_INJECTOR_H
 
+#include "fault_plan.h"
 #include "fleet.h"
 
 namespace nutmegdrift::soak {
 
 /// Starts faults of random kinds at random moments; they overlap, and some come
 /// in series. Everything ends with settle().
-class FaultInjector {
+class FaultInjector final : public FaultPlan {
 public:
   FaultInjector(Fleet &Of, std::uint64_t Seed);
 
-  void start();
-  /// Starts no more faults, ends all and lets every process run again.
-  void settle();
-  [[nodiscard]] std::size_t started() const { return m_started; }
+  void start() override;
+  void settle() override;
+  [[nodiscard]] std::size_t started() const override { return m_started; }
 
 private:
   using Fault = void (FaultInjector::*)();
--- a/soak/faulty_link.cpp
+++ b/soak/faulty_link.cpp
@@ -1,6 +1,7 @@
 // Pairs of connections with delayed and held-up bytes.
 #include "faulty_link.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace nutmegdrift::soak {
@@ -32,6 +33,7 @@
     m_there.forward();
     m_back.forward();
   }
+  void mute() { m_mute = true; }
   /// Also ends the timers, which must not outlive the link.
   void reset() {
     for (Direction *Each : {&m_there, &m_back}) {
@@ -52,6 +54,9 @@
     }
     void onConnectFailed() override { Owner.close(true); }
     void onData(std::string_view Data) override {
+      Data = Owner.keep(Data, There);
+      if (Data.empty())
+        return;
       Waiting.push_back(
           {Owner.m_owner.m_clock.now() + Owner.m_owner.m_fault.Delay,
            std::string(Data)});
@@ -98,6 +103,24 @@
     bool Reset = false;
   };
 
+  /// The part of the bytes that the link carries.
+  std::string_view keep(std::string_view Data, bool There) {
+    const LinkFault &Fault = m_owner.m_fault;
+    if (m_mute)
+      return {};
+    if (!Fault.Lose || (There && Fault.PassedBack > 0))
+      return Data;
+    if (There) {
+      m_mute = true;
+      return {};
+    }
+    const std::size_t Left =
+        Fault.PassedBack - std::min(Fault.PassedBack, m_passedBack);
+    m_passedBack += std::min(Left, Data.size());
+    m_mute = Data.size() > Left;
+    return Data.substr(0, Left);
+  }
+
   /// An end closes both sides; half-open connections are not needed here.
   void close(bool Reset) {
     auto Self = shared_from_this();
@@ -125,6 +148,8 @@
   FaultyLink &m_owner;
   Direction m_there;
   Direction m_back;
+  bool m_mute = false;          ///< Carries nothing further.
+  std::size_t m_passedBack = 0; ///< Carried back while bytes are lost.
 };
 
 FaultyLink::FaultyLink(net::EventLoop &Loop, const Clock &Clk, HostPort Target)
@@ -153,6 +178,11 @@
     Each->wake();
 }
 
+void FaultyLink::muteAll() {
+  for (const auto &Each : m_pairs)
+    Each->mute();
+}
+
 void FaultyLink::resetAll() {
   const auto Pairs = std::exchange(m_pairs, {});
   for (const auto &Each : Pairs)
--- a/soak/faulty_link.h
+++ b/soak/faulty_link.h
@@ -15,6 +15,11 @@
   Duration Delay{0};     ///< Of bytes in both directions.
   bool CutThere = false; ///< Bytes to the target wait until the fault ends.
   bool CutBack = false;  ///< Bytes from the target wait until the fault ends.
+  /// Bytes are lost. A connection that has lost any carries nothing further.
+  bool Lose = false;
+  /// With Lose: requests arrive, and of what the target sends on a connection
+  /// only this many bytes are carried. 0: requests are lost too.
+  std::size_t PassedBack = 0;
 
   friend bool operator==(const LinkFault &, const LinkFault &) = default;
 };
@@ -34,6 +39,8 @@
   void setTarget(HostPort Target) { m_target = std::move(Target); }
   void setFault(const LinkFault &Fault);
   [[nodiscard]] const LinkFault &fault() const { return m_fault; }
+  /// All open connections carry nothing further.
+  void muteAll();
   /// Resets every open connection at both ends.
   void resetAll();
   [[nodiscard]] std::size_t connections() const { return m_pairs.size(); }
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -45,7 +45,8 @@
                                .Zone = zone(I),
                                .Seeds = Seeds,
                                .Store = Store.address(),
-                               .Directory = Options.Directory}));
+                               .Directory = Options.Directory,
+                               .Program = Options.Program}));
 }
 
 std::string Fleet::host(unsigned Number) const {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -14,6 +14,7 @@
   unsigned PlainReplicas = 3;
   unsigned Engines = 4;
   std::string Directory; ///< For settings and logs.
+  std::string Program = DaemonProcess::BuiltProgram;
 };
 
 class Fleet {
--- a/soak/nutmegsoak.cpp
+++ b/soak/nutmegsoak.cpp
@@ -2,6 +2,7 @@
 // the promises checked from what callers and replicas see.
 #include "caller.h"
 #include "fault_injector.h"
+#include "silence_rounds.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -34,11 +35,27 @@
 /// Set by SIGINT and SIGTERM, read at each poll.
 volatile std::sig_atomic_t Interrupted = 0;
 
+/// The plans by name.
+using PlanMaker = std::unique_ptr<FaultPlan> (*)(Fleet &, std::uint64_t);
+const std::map<std::string, PlanMaker> &plans() {
+  static const std::map<std::string, PlanMaker> Table = {
+      {"faults",
+       [](Fleet &Of, std::uint64_t Seed) -> std::unique_ptr<FaultPlan> {
+         return std::make_unique<FaultInjector>(Of, Seed);
+       }},
+      {"silences",
+       [](Fleet &Of, std::uint64_t Seed) -> std::unique_ptr<FaultPlan> {
+         return std::make_unique<SilenceRounds>(Of, Seed);
+       }}};
+  return Table;
+}
+
 class Soak {
 public:
-  Soak(const FleetOptions &Options, unsigned Callers, seconds Length)
-      : m_fleet(Options), m_faults(m_fleet, Options.Seed), m_length(Length),
-        m_poll(m_fleet.Loop), m_phase(m_fleet.Loop) {
+  Soak(const FleetOptions &Options, PlanMaker Plan, unsigned Callers,
+       seconds Length)
+      : m_fleet(Options), m_faults(Plan(m_fleet, Options.Seed)),
+        m_length(Length), m_poll(m_fleet.Loop), m_phase(m_fleet.Loop) {
     for (unsigned I = 0; I < Callers; ++I)
       m_callers.push_back(std::make_unique<Caller>(m_fleet, I));
   }
@@ -55,9 +72,9 @@
   void begin() {
     for (const auto &Each : m_callers)
       Each->start();
-    m_faults.start();
+    m_faults->start();
     m_phase.callAfter(m_length, [this] {
-      m_faults.settle();
+      m_faults->settle();
       m_phase.callAfter(Recovery, [this] { beginFinal(); });
     });
   }
@@ -108,14 +125,14 @@
     }
     std::cout << "result=" << (Bad ? "failed" : "passed")
               << " requests=" << m_fleet.Checker.sentCount()
-              << " faults=" << m_faults.started()
+              << " faults=" << m_faults->started()
               << " violations=" << m_fleet.Checker.violationCount()
               << " served_at_end=" << Served << "/" << All << "\n";
     return Bad ? EXIT_FAILURE : EXIT_SUCCESS;
   }
 
   Fleet m_fleet;
-  FaultInjector m_faults;
+  const std::unique_ptr<FaultPlan> m_faults;
   std::vector<std::unique_ptr<Caller>> m_callers;
   const Duration m_length;
   net::Timer m_poll;
@@ -138,9 +155,13 @@
                 cxxopts::value<unsigned>()->default_value("40"), "NUMBER")(
       "engines", "replicas of the model service",
       cxxopts::value<unsigned>()->default_value("4"), "NUMBER")(
-      "out", "directory for settings and logs; made if it isn't there",
-      cxxopts::value<std::string>()->default_value("soak-out"),
-      "DIRECTORY")("help", "print this text");
+      "plan", "faults: random and overlapping, or silences: of the store",
+      cxxopts::value<std::string>()->default_value("faults"), "NAME")(
+      "program", "the daemon, in place of the one built with this program",
+      cxxopts::value<std::string>()->default_value(DaemonProcess::BuiltProgram),
+      "PATH")("out", "directory for settings and logs; made if it isn't there",
+              cxxopts::value<std::string>()->default_value("soak-out"),
+              "DIRECTORY")("help", "print this text");
   const auto Args = Spec.parse(Argc, Argv);
   if (Args.count("help") != 0) {
     std::cout << Spec.help();
@@ -153,6 +174,16 @@
               << "\n";
     return ExitUsage;
   }
+  const auto Plan = plans().find(Args["plan"].as<std::string>());
+  if (Plan == plans().end()) {
+    std::cerr << "nutmegsoak: --plan must be faults or silences\n";
+    return ExitUsage;
+  }
+  const std::string Program = Args["program"].as<std::string>();
+  if (!std::filesystem::exists(Program)) {
+    std::cerr << "nutmegsoak: there is no program " << Program << "\n";
+    return ExitUsage;
+  }
   const std::string Out = Args["out"].as<std::string>();
   std::filesystem::create_directories(Out);
   const std::uint64_t Seed = Args["seed"].as<std::uint64_t>();
@@ -160,8 +191,9 @@
   return Soak({.Seed = Seed,
                .Daemons = Daemons,
                .Engines = Args["engines"].as<unsigned>(),
-               .Directory = Out},
-              Args["callers"].as<unsigned>(),
+               .Directory = Out,
+               .Program = Program},
+              Plan->second, Args["callers"].as<unsigned>(),
               seconds(Args["seconds"].as<unsigned>()))
       .run();
 }
--- a/soak/operator.cpp
+++ b/soak/operator.cpp
@@ -92,6 +92,7 @@
 void Operator::registerReplica(const ReplicaStandIn &Which) {
   m_store.put(names::ReplicaKind, Which.id(),
               platform::sampleReplica(Which.record(false)));
+  m_checker.replicaInZone(Which.id(), Which.record(false).Zone);
 }
 
 void Operator::announceDraining(const ReplicaStandIn &Which) {
@@ -100,6 +101,16 @@
   m_checker.replicaLeft(Which.id());
 }
 
+void Operator::evacuate(const std::string &Zone) {
+  m_store.put(names::EvacuationKind, Zone, nlohmann::json::object());
+  m_checker.zoneEvacuated(Zone);
+}
+
+void Operator::takeBack(const std::string &Zone) {
+  m_store.remove(names::EvacuationKind, Zone);
+  m_checker.zoneTakenBack(Zone);
+}
+
 void Operator::unregisterReplica(const std::string &Id) {
   m_store.remove(names::ReplicaKind, Id);
   m_checker.replicaLeft(Id);
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -27,6 +27,8 @@
   void registerReplica(const ReplicaStandIn &Which);
   void announceDraining(const ReplicaStandIn &Which);
   void unregisterReplica(const std::string &Id);
+  void evacuate(const std::string &Zone);
+  void takeBack(const std::string &Zone);
 
 private:
   void write();
--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -120,6 +120,20 @@
       m_disturbed.calm(Replica, Request.At, Now))
     violate("replica-left", Of,
             "replica=" + Replica + " left_ms_before=" + millis(Now - *Left));
+  checkEvacuation(Of, Replica);
+}
+
+void PromiseChecker::checkEvacuation(const Entry &Of,
+                                     const std::string &Replica) {
+  const auto Zone = m_zones.find(Replica);
+  if (Zone == m_zones.end())
+    return;
+  const auto Since = find(m_evacuated, Zone->second);
+  const TimePoint Now = m_clock.now();
+  if (Since && Now > *Since + m_bounds.Evacuated && calm(Of, *Since))
+    violate("evacuated", Of,
+            "replica=" + Replica + " zone=" + Zone->second +
+                " evacuated_ms_before=" + millis(Now - *Since));
 }
 
 void PromiseChecker::ended(const std::string &Id, Ending How,
--- a/soak/promise_checker.h
+++ b/soak/promise_checker.h
@@ -42,6 +42,7 @@
   Duration KeyRevocation = std::chrono::milliseconds(5000);
   Duration StateApplied = std::chrono::milliseconds(2000);
   Duration ReplicaLeft = std::chrono::milliseconds(2000);
+  Duration Evacuated = std::chrono::milliseconds(5000);
   /// A request that has no answer this long after its deadline was forgotten.
   Duration AnswerAfterDeadline = std::chrono::milliseconds(500);
 };
@@ -95,6 +96,14 @@
     m_leftReplicas[Replica] = m_clock.now();
   }
 
+  void replicaInZone(const std::string &Replica, const std::string &Zone) {
+    m_zones[Replica] = Zone;
+  }
+  void zoneEvacuated(const std::string &Zone) {
+    m_evacuated[Zone] = m_clock.now();
+  }
+  void zoneTakenBack(const std::string &Zone) { m_evacuated.erase(Zone); }
+
   void sent(SentRequest Request);
   /// A replica began to run a request. Workspace is what it was told.
   void ran(const std::string &Id, const std::string &Replica,
@@ -133,6 +142,7 @@
                const std::string &Detail);
   void checkRun(Entry &Of, const std::string &Replica,
                 const std::string &Workspace);
+  void checkEvacuation(const Entry &Of, const std::string &Replica);
   void checkEnding(const Entry &Of, Ending How, const std::string &Detail);
   /// Whether the request's daemon and the store were undisturbed throughout.
   [[nodiscard]] bool calm(const Entry &Of, TimePoint From) const;
@@ -148,6 +158,8 @@
   std::map<std::string, TimePoint> m_addedRoutes;
   std::map<std::string, TimePoint> m_removedRoutes;
   std::map<std::string, TimePoint> m_leftReplicas;
+  std::map<std::string, std::string> m_zones;   ///< By replica.
+  std::map<std::string, TimePoint> m_evacuated; ///< Zones, with the start.
   std::map<std::string, TimePoint> m_stops;
   std::map<Ending, std::size_t> m_endings;
   std::vector<std::string> m_violations;
--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -105,6 +105,23 @@
   EXPECT_TRUE(violated("replica-left"));
 }
 
+TEST_F(PromiseCheckerTest, SeesARequestInAnEvacuatedZone) {
+  Checker.replicaInZone("x", "z");
+  Checker.zoneEvacuated("z");
+  Clk.advance(4900ms);
+  send("a", RequestKind::RunOnce);
+  Checker.ran("a", "x", "w");
+  EXPECT_EQ(Checker.violationCount(), 0U);
+  Clk.advance(200ms);
+  send("b", RequestKind::RunOnce);
+  Checker.ran("b", "x", "w");
+  EXPECT_TRUE(violated("evacuated"));
+  Checker.zoneTakenBack("z");
+  send("c", RequestKind::RunOnce);
+  Checker.ran("c", "x", "w");
+  EXPECT_EQ(Checker.violationCount(), 1U);
+}
+
 // A daemon that was disturbed has time to learn what it missed, but not for
 // ever.
 TEST_F(PromiseCheckerTest, ExcusesDisturbedDaemonsForAWhile) {
@@ -297,6 +314,53 @@
   EXPECT_EQ(wait(5s), "reset");
 }
 
+// A channel on which the store loses an answer returns nothing further.
+TEST_F(LinkTest, AConnectionThatLostBytesStaysSilent) {
+  Link.setFault({.Lose = true});
+  send();
+  EXPECT_EQ(wait(200ms), "");
+  Link.setFault({});
+  EXPECT_EQ(wait(300ms), "");
+  send();
+  EXPECT_EQ(wait(10s), "answered");
+}
+
+TEST_F(LinkTest, AWaitingConnectionThatLostNothingGoesOn) {
+  std::shared_ptr<net::ServerExchange> Waiting;
+  net::HttpServer Slow(Loop, Clk,
+                       [&](const std::shared_ptr<net::ServerExchange> &Each) {
+                         Waiting = Each;
+                       });
+  ASSERT_TRUE(Slow.listen({.Host = "127.0.0.1", .Port = 0}));
+  Link.setTarget({.Host = "127.0.0.1", .Port = Slow.port()});
+  send();
+  EXPECT_EQ(wait(200ms), "");
+  ASSERT_TRUE(Waiting);
+  Link.setFault({.Lose = true});
+  EXPECT_EQ(wait(50ms), "");
+  Link.setFault({});
+  Waiting->answer(200, {}, "body");
+  EXPECT_EQ(wait(10s), "answered");
+}
+
+TEST_F(LinkTest, LosesTheRestOfAnAnswer) {
+  std::size_t Received = 0;
+  Link.setFault({.Lose = true, .PassedBack = 10});
+  Caller = std::make_shared<net::ClientConnection>(Loop, Clk, Link.address());
+  const auto Raw =
+      std::make_shared<net::ClientConnection>(Loop, Clk, Link.address());
+  Raw->send(net::serialise({.Method = "GET",
+                            .Target = "/",
+                            .Headers = {{"Host", "h"}},
+                            .Body = {}}),
+            1s,
+            {.OnBody = [&](std::string_view Part) { Received += Part.size(); },
+             .OnEnd = [this] { Outcome = "answered"; }});
+  EXPECT_EQ(wait(300ms), "");
+  EXPECT_EQ(Requests, 1);
+  EXPECT_EQ(Received, 0U);
+}
+
 TEST_F(LinkTest, DelaysBothWays) {
   Link.setFault({.Delay = 100ms});
   const TimePoint Began = Clk.now();
