Count a stop from the time at which its signal can have come

Cause: requests are accepted for 3 s, which is the rule's bound, counted from the handling of the signal less the mean lag of the loop. A single stall before it is longer than the mean: a request sent 3.1 s after the signal was taken, and cut at the end of the grace if it was long.

The loop has handled all that came before its tick before the last one. The time to accept, and the check that a request can end, count from there. Long stalls without a signal make the daemon refuse sooner, which is true; the end of the grace still counts from the estimate, so nothing is cut sooner. daemon.stopping logs signal_age_ms.

AStallBeforeTheStopDoesNotProlongTheTimeToAccept failed before (200 in place of 503).

--- a/include/nutmegdrift/gateway/loop_lag.h
+++ b/include/nutmegdrift/gateway/loop_lag.h
@@ -29,7 +29,13 @@
       m_meanLag += std::chrono::duration_cast<Duration>(
           Smoothing * (std::min(Lag, MaxLag) - m_meanLag));
     }
-    m_lastTick = Now;
+    m_tickBeforeLast = std::exchange(m_lastTick, Now);
+  }
+  /// The loop has handled all that reached the process before this time: events
+  /// wait for the turn that is under way, and each turn that handles a tick
+  /// looks for new ones. Empty before the second tick.
+  [[nodiscard]] std::optional<TimePoint> handledUntil() const {
+    return m_tickBeforeLast;
   }
   [[nodiscard]] Duration mean() const { return m_meanLag; }
   /// Returns the worst lag since the last call.
@@ -37,7 +43,8 @@
 
 private:
   const Duration m_interval;
-  std::optional<TimePoint> m_lastTick;
+  std::optional<TimePoint> m_lastTick{};
+  std::optional<TimePoint> m_tickBeforeLast{};
   Duration m_meanLag{0};
   Duration m_worstLag{0};
 };
--- a/include/nutmegdrift/gateway/stop_schedule.h
+++ b/include/nutmegdrift/gateway/stop_schedule.h
@@ -48,12 +48,14 @@
   /// The last answers are sent in this time before the kill.
   static constexpr Duration KillMargin = std::chrono::milliseconds(500);
 
-  TimePoint Signalled{};
+  TimePoint Signalled{}; ///< Estimate.
+  /// The signal was sent at this time or later. Not after Signalled.
+  TimePoint NotSignalledBefore{};
   Duration Grace{0}; ///< From the signal to the kill.
 
   /// Requests received later are refused.
   [[nodiscard]] TimePoint acceptEnd() const {
-    return Signalled +
+    return NotSignalledBefore +
            std::min(MaxAcceptTime,
                     std::chrono::duration_cast<Duration>(AcceptShare * Grace));
   }
@@ -61,7 +63,7 @@
   [[nodiscard]] TimePoint end() const { return Signalled + Grace - KillMargin; }
   /// Whether a request that is expected to run for this long may begin.
   [[nodiscard]] bool mayBegin(Duration Expected, TimePoint Now) const {
-    return Now + Expected <= end();
+    return Now + Expected <= NotSignalledBefore + Grace - KillMargin;
   }
 
   friend bool operator==(const StopSchedule &, const StopSchedule &) = default;
--- a/src/nutmegdrift/gateway/gateway.cpp
+++ b/src/nutmegdrift/gateway/gateway.cpp
@@ -659,12 +659,22 @@
     return;
   m_state.Stopping = true;
   // A busy daemon reads the signal late.
-  m_callEnvironment.Stop = {.Signalled = m_clock.now() - m_lag.mean(),
-                            .Grace = m_settings.Bounds.StopGrace};
+  const TimePoint Signalled = m_clock.now() - m_lag.mean();
+  m_callEnvironment.Stop = {
+      .Signalled = Signalled,
+      .NotSignalledBefore =
+          std::min(Signalled, m_lag.handledUntil().value_or(Signalled)),
+      .Grace = m_settings.Bounds.StopGrace};
   m_front.startDraining();
   m_beacon.sendNow();
-  m_log.line(LogClass::State, "daemon.stopping",
-             {{"requests", std::to_string(m_front.activeRequests())}});
+  m_log.line(
+      LogClass::State, "daemon.stopping",
+      {{"requests", std::to_string(m_front.activeRequests())},
+       {"signal_age_ms",
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_clock.now() - m_callEnvironment.Stop.NotSignalledBefore)
+                .count())}});
 }
 
 void Gateway::checkStopped() {
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -711,6 +711,39 @@
   EXPECT_EQ(Only.Requests, 1);
 }
 
+// A stall of the loop made the daemon read the signal late, and a request that
+// was sent more than 3 s after it was taken and cut at the end of the grace.
+TEST_F(GatewayFixture, AStallBeforeTheStopDoesNotProlongTheTimeToAccept) {
+  apply();
+  auto &Only = replica(answerDone);
+  GatewaySettings Long = Settings;
+  Long.Bounds.StopGrace = 8s;
+  Daemon->reload(Long);
+  const auto Open =
+      std::make_shared<net::ClientConnection>(Loop, Clk, Settings.Front);
+  int Status = 0;
+  bool Ended = false;
+  auto Send = [&] {
+    Ended = false;
+    Open->send(
+        "GET /once/x HTTP/1.1\r\nHost: h\r\nId: i\r\n\r\n", 1s,
+        {.OnHead =
+             [&](const net::HttpAnswerHead &Head) { Status = Head.Status; },
+         .OnEnd = [&] { Ended = true; }});
+    runUntil([&] { return Ended; });
+  };
+  Send();
+  EXPECT_EQ(Status, 200);
+  const TimePoint TicksUntil = Clk.now() + 3 * StateFreshness::TickInterval;
+  runUntil([&] { return Clk.now() > TicksUntil; });
+  Clk.pause(800ms); // The signal comes at the beginning of it.
+  Daemon->stop();
+  Clk.pause(2300ms);
+  Send();
+  EXPECT_EQ(Status, 503);
+  EXPECT_EQ(Only.Requests, 1);
+}
+
 // A request that may run only once was begun although the daemon stopped before
 // its usual end, and was cut.
 TEST_F(GatewayFixture, ARequestThatCantEndBeforeTheStopIsNotBegun) {
--- a/src/nutmegdrift/gateway/loop_lag_test.cpp
+++ b/src/nutmegdrift/gateway/loop_lag_test.cpp
@@ -24,6 +24,19 @@
   EXPECT_EQ(Lag.resetWorst(), 0ms);
 }
 
+// What came during a stall must not count as having come after it.
+TEST(LoopLag, KnowsUntilWhenEventsHaveBeenHandled) {
+  LoopLag Lag(100ms);
+  const TimePoint Start{1h};
+  EXPECT_FALSE(Lag.handledUntil());
+  Lag.tick(Start);
+  EXPECT_FALSE(Lag.handledUntil());
+  Lag.tick(Start + 100ms);
+  EXPECT_EQ(Lag.handledUntil(), Start);
+  Lag.tick(Start + 900ms);
+  EXPECT_EQ(Lag.handledUntil(), Start + 100ms);
+}
+
 // After a freeze of the VM its lag must return to normal soon, or its reports
 // are corrected by too much.
 TEST(LoopLag, AFreezeIsForgottenWithinTwoSeconds) {
