Do not let a caller's number of tokens overflow the run time

Found while reading the diff: the slowest pace was multiplied by the number of tokens in integers. 2^30 tokens at 12 s a token gave a negative time, so the request was begun whatever was left of the stop.

AHugeNumberOfTokensTakesTheLongestRun failed before (-8.3e18 ns).

--- a/include/nutmegdrift/gateway/stop_schedule.h
+++ b/include/nutmegdrift/gateway/stop_schedule.h
@@ -22,21 +22,28 @@
     m_runs[m_next++ % Runs] = {.Time = Run, .Tokens = Tokens};
   }
   /// The longest of the latest runs, or less if an answer of this many tokens
-  /// takes less time even at the slowest pace. More by half a run's share while
-  /// few are known, as the next may be longer. 0 before the first run.
+  /// takes less time even at the slowest pace. A part that shrinks with the
+  /// number of runs is added, because the next may be longer. 0 before the
+  /// first run.
   [[nodiscard]] Duration expected(std::uint32_t Tokens = 0) const {
     const auto Known = static_cast<std::int64_t>(std::min(m_next, Runs));
+    if (Known == 0)
+      return Duration{0};
     Duration Longest{0};
-    Duration AtSlowestPace{0};
+    double SlowestPace = 0; // Ticks of Duration for a token.
     for (std::int64_t I = 0; I < Known; ++I) {
       const Run &Each = m_runs[static_cast<std::size_t>(I)];
       Longest = std::max(Longest, Each.Time);
-      AtSlowestPace = std::max(AtSlowestPace,
-                               Each.Time * Tokens / std::max(Each.Tokens, 1U));
+      SlowestPace = std::max(
+          SlowestPace, static_cast<double>(Each.Time.count()) /
+                           static_cast<double>(std::max(Each.Tokens, 1U)));
     }
-    const Duration Most =
-        Tokens > 0 ? std::min(Longest, AtSlowestPace) : Longest;
-    return Known == 0 ? Most : Most + Most / (2 * Known);
+    // In floating point, because callers choose the number of tokens.
+    const double AtSlowestPace = SlowestPace * static_cast<double>(Tokens);
+    Duration Most = Longest;
+    if (Tokens > 0 && AtSlowestPace < static_cast<double>(Longest.count()))
+      Most = Duration(static_cast<Duration::rep>(AtSlowestPace));
+    return Most + Most / (2 * Known);
   }
 
 private:
--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -804,6 +804,16 @@
   EXPECT_EQ(Estimate.expected(), Estimate.expected(4000));
 }
 
+// The number of tokens comes from the caller.
+TEST(RunTimeEstimate, AHugeNumberOfTokensTakesTheLongestRun) {
+  RunTimeEstimate Estimate;
+  Estimate.record(12s, 1);
+  for (const std::uint32_t Tokens : {1U << 30U, UINT32_MAX}) {
+    EXPECT_GE(Estimate.expected(Tokens), 12s);
+    EXPECT_LE(Estimate.expected(Tokens), 18s);
+  }
+}
+
 TEST(RunTimeEstimate, ForgetsOldRuns) {
   RunTimeEstimate Estimate;
   Estimate.record(8s);
