Start daemons again that stop while the soak's faults end

The logs show five daemon.stopping, the last five terminate-in-turn, and no start after them: settle() started only daemons that were not stopping, after it had dropped the timers that start the others.

A stopping daemon is started once it has ended. The new test needs the new function.

--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <utility>
 
 namespace nutmegdrift::soak {
 
@@ -76,6 +77,11 @@
   m_disturbed.end(name(), m_clock.now());
 }
 
+void DaemonProcess::startWhenStopped() {
+  m_startAgain = m_stopping;
+  start();
+}
+
 void DaemonProcess::ended() {
   m_process.reset();
   m_graceTimer.cancel();
@@ -83,6 +89,8 @@
     m_disturbed.end(name(), m_clock.now());
   m_paused = m_stopping = false;
   m_disturbed.begin(name(), m_clock.now());
+  if (std::exchange(m_startAgain, false))
+    start();
 }
 
 void DaemonProcess::kill() {
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -33,6 +33,8 @@
   ~DaemonProcess();
 
   void start();
+  /// Starts the process now or, if it is stopping, once it has ended.
+  void startWhenStopped();
   /// Ends the process at once.
   void kill();
   /// Sends SIGTERM, and SIGKILL after the grace.
@@ -73,6 +75,7 @@
   std::optional<nutmegdrift::testing::ChildProcess> m_process;
   bool m_paused = false;
   bool m_stopping = false;
+  bool m_startAgain = false; ///< Once it has ended.
   unsigned m_unexplained = 0;
 };
 
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -76,8 +76,7 @@
     Undo();
   for (const auto &Each : m_fleet.Daemons) {
     Each->resume();
-    if (!Each->stopping())
-      Each->start();
+    Each->startWhenStopped();
   }
   m_fleet.note("fault=none");
 }
--- a/soak/silence_rounds.cpp
+++ b/soak/silence_rounds.cpp
@@ -158,8 +158,7 @@
   for (const auto &Each : m_fleet.Daemons) {
     Each->store().setFault({});
     Each->resume();
-    if (!Each->stopping())
-      Each->start();
+    Each->startWhenStopped();
   }
   m_fleet.Store.Down = false;
   if (m_silent > 0)
--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -1,7 +1,7 @@
 // Guards the soak's own parts: a checker that overlooks a broken promise, and a
 // link that shows no fault, would let every run pass.
-#include "faulty_link.h"
-#include "promise_checker.h"
+#include "daemon_process.h"
+#include "fake_store.h"
 
 #include "nutmegdrift/net/client_connection.h"
 #include "nutmegdrift/net/http_server.h"
@@ -10,6 +10,9 @@
 
 #include <gtest/gtest.h>
 
+#include <filesystem>
+#include <fstream>
+
 namespace nutmegdrift::soak {
 namespace {
 
@@ -175,6 +178,50 @@
   EXPECT_TRUE(violated("workspace"));
 }
 
+// A daemon that was stopping at the end of the faults was never started again,
+// and a run in which all of them were failed without a fault of theirs.
+TEST(DaemonProcessTest, AStoppingProcessIsStartedAgain) {
+  net::EventLoop Loop{1};
+  SystemClock Clk;
+  Disturbances Disturbed;
+  PromiseChecker Checker{Clk, Disturbed, {}};
+  platform::FakeStore Store(Loop, Clk);
+  ASSERT_TRUE(Store.start());
+  const std::string Directory = ::testing::TempDir() + "daemon_process_test";
+  std::filesystem::create_directories(Directory);
+  std::filesystem::remove(Directory + "/d0.log");
+  const std::string Host = "127.9.0.1";
+  DaemonProcess Tested(Loop, Clk, Disturbed, Checker,
+                       {.Name = "d0",
+                        .Host = Host,
+                        .Zone = "z0",
+                        .Seeds = {Host},
+                        .Store = Store.address(),
+                        .Directory = Directory,
+                        .Program = DaemonProcess::BuiltProgram});
+  const auto Starts = [&] {
+    std::ifstream In(Directory + "/d0.log");
+    int Found = 0;
+    for (std::string Line; std::getline(In, Line);)
+      Found += Line.find("event=daemon.started") != std::string::npos ? 1 : 0;
+    return Found;
+  };
+  const auto Wait = [&](int Wanted) {
+    const auto End = std::chrono::steady_clock::now() + 30s;
+    while (Starts() < Wanted && std::chrono::steady_clock::now() < End) {
+      Loop.run_for(20ms);
+      Tested.poll();
+    }
+    return Starts() == Wanted;
+  };
+  Tested.start();
+  ASSERT_TRUE(Wait(1));
+  Tested.terminate();
+  Tested.startWhenStopped();
+  EXPECT_TRUE(Wait(2));
+  EXPECT_EQ(Tested.unexplainedEnds(), 0U);
+}
+
 struct LinkTest : ::testing::Test {
   LinkTest() {
     EXPECT_TRUE(Server.listen({.Host = "127.0.0.1", .Port = 0}));
