--- a/src/nutmegdrift/gateway/gateway_test.cpp
+++ b/src/nutmegdrift/gateway/gateway_test.cpp
@@ -785,7 +785,7 @@
 }
 
 // The mean of a route with a long tail was taken for the time that a request
-// needs: one in six that was begun after the stop signal was cut.
+// needs, and requests were begun in a stop that could not end before it.
 TEST(RunTimeEstimate, CoversTheLongRunsOfARoute) {
   RunTimeEstimate Estimate;
   for (int I = 0; I < 200; ++I)
