--- a/src/nutmegdrift/base/base_test.cpp
+++ b/src/nutmegdrift/base/base_test.cpp
@@ -3,6 +3,7 @@
 #include "nutmegdrift/base/error.h"
 #include "nutmegdrift/base/event_log.h"
 #include "nutmegdrift/base/identifiers.h"
+#include "nutmegdrift/base/uri.h"
 
 #include <gtest/gtest.h>
 
@@ -48,6 +49,16 @@
     EXPECT_FALSE(parseHostPort(Text)) << Text;
 }
 
+// A name that ends a value, or the request line, makes a server read another
+// name.
+TEST(Uri, EncodesWhatHasAMeaningOfItsOwn) {
+  EXPECT_EQ(encodeUriComponent("i-0.a_b~9"), "i-0.a_b~9");
+  EXPECT_EQ(encodeUriComponent("&=+#%? /;\r\n"),
+            "%26%3D%2B%23%25%3F%20%2F%3B%0D%0A");
+  EXPECT_EQ(encodeUriComponent(std::string_view("\0\xff", 2)), "%00%FF");
+  EXPECT_EQ(encodeUriPath("zone/a b"), "zone/a%20b");
+}
+
 // Guards against a ring that grows as long as the daemon runs.
 TEST(EventLog, KeepsOnlyTheLatest) {
   const ManualClock Clk;
--- a/src/nutmegdrift/platform/http_object_store.cpp
+++ b/src/nutmegdrift/platform/http_object_store.cpp
@@ -1,4 +1,5 @@
 #include "nutmegdrift/platform/http_object_store.h"
+#include "nutmegdrift/base/uri.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -6,7 +7,6 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/URI.h>
 
 #include <nlohmann/json.hpp>
 
@@ -24,14 +24,8 @@
 constexpr auto VersionHeader = "X-Object-Version";
 constexpr auto ConditionHeader = "X-If-Version";
 
-std::string encoded(const std::string &Text) {
-  std::string Out;
-  Poco::URI::encode(Text, "?#&+=;%", Out);
-  return Out;
-}
-
 std::string objectPath(const std::string &Name) {
-  return "/objects/" + encoded(Name);
+  return "/objects/" + encodeUriPath(Name);
 }
 
 Poco::Timespan toTimespan(std::chrono::milliseconds Time) {
@@ -204,8 +198,9 @@
 }
 
 Result<Listing> HttpObjectStore::list(const std::string &Prefix) {
-  BOOST_LEAF_AUTO(Out, perform({.Method = "GET",
-                                .Path = "/objects?prefix=" + encoded(Prefix)}));
+  BOOST_LEAF_AUTO(
+      Out, perform({.Method = "GET",
+                    .Path = "/objects?prefix=" + encodeUriComponent(Prefix)}));
   return parsed(Out.Body, listingFrom);
 }
 
@@ -231,12 +226,12 @@
 Result<Changes> HttpObjectStore::watch(const std::string &Prefix,
                                        ObjectVersion After,
                                        std::chrono::milliseconds Wait) {
-  BOOST_LEAF_AUTO(Out,
-                  perform({.Method = "GET",
-                           .Path = "/watch?prefix=" + encoded(Prefix) +
-                                   "&after=" + std::to_string(After) +
-                                   "&wait_ms=" + std::to_string(Wait.count()),
-                           .Wait = Wait}));
+  BOOST_LEAF_AUTO(
+      Out, perform({.Method = "GET",
+                    .Path = "/watch?prefix=" + encodeUriComponent(Prefix) +
+                            "&after=" + std::to_string(After) +
+                            "&wait_ms=" + std::to_string(Wait.count()),
+                    .Wait = Wait}));
   return parsed(Out.Body, changesFrom);
 }
 
