Send no name from the store that adds a header

What callers saw: nothing; replicas got headers that no caller sent. With a line break in the name of an entry, whatever followed it reached the replica at its address as a header of its own.

Cause: the name is sent in a header, and neither documents.cpp nor net::serialiseHead() checked it. The name of a workspace and the address of a replica are sent in the same way.

--- a/include/nutmegdrift/net/http_message.h
+++ b/include/nutmegdrift/net/http_message.h
@@ -150,6 +150,13 @@
   std::unique_ptr<Impl> m_impl;
 };
 
+/// Whether the text can be a field's value as it is (RFC 9110, section 5.5): no
+/// control characters but tabs, and no blank or tab at its ends.
+bool isFieldValue(std::string_view Text);
+
+// In what is serialised, CR, LF and NUL in a field's value become blanks, so no
+// value adds a field or ends the head.
+
 /// The bytes of a request, with Content-Length if its method allows a body.
 std::string serialise(const HttpRequest &Request);
 /// The same up to the body, which has this many bytes.
--- a/src/nutmegdrift/net/http_message.cpp
+++ b/src/nutmegdrift/net/http_message.cpp
@@ -294,14 +294,41 @@
 bool AnswerReader::failed() const { return m_impl->Failed; }
 bool AnswerReader::keepAlive() const { return m_impl->keep_alive(); }
 
+namespace {
+
+void appendFields(std::string &Out, const HeaderList &Headers) {
+  for (const HeaderField &Field : Headers.all()) {
+    Out += Field.Name + ": ";
+    const auto Begin = static_cast<std::ptrdiff_t>(Out.size());
+    Out += Field.Value;
+    std::replace_if(
+        Out.begin() + Begin, Out.end(),
+        [](char C) { return C == '\r' || C == '\n' || C == '\0'; }, ' ');
+    Out += "\r\n";
+  }
+}
+
+} // namespace
+
+bool isFieldValue(std::string_view Text) {
+  const auto IsBlank = [](char C) { return C == ' ' || C == '\t'; };
+  if (!Text.empty() && (IsBlank(Text.front()) || IsBlank(Text.back())))
+    return false;
+  return std::ranges::none_of(Text, [](char C) {
+    const auto Byte = static_cast<unsigned char>(C);
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    return (Byte < FirstPrintable && C != '\t') || Byte == Delete;
+  });
+}
+
 std::string serialise(const HttpRequest &Request) {
   return serialiseHead(Request, Request.Body.size()) + Request.Body;
 }
 
 std::string serialiseHead(const HttpRequest &Request, std::size_t BodyBytes) {
   std::string Out = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
-  for (const HeaderField &Field : Request.Headers.all())
-    Out += Field.Name + ": " + Field.Value + "\r\n";
+  appendFields(Out, Request.Headers);
   const bool MayHaveBody = Request.Method != "GET" && Request.Method != "HEAD";
   if (MayHaveBody || BodyBytes > 0)
     Out += "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
@@ -312,8 +339,7 @@
 std::string serialiseHead(int Status, const HeaderList &Headers) {
   std::string Out = "HTTP/1.1 " + std::to_string(Status) + " " +
                     std::string(reasonPhrase(Status)) + "\r\n";
-  for (const HeaderField &Field : Headers.all())
-    Out += Field.Name + ": " + Field.Value + "\r\n";
+  appendFields(Out, Headers);
   Out += "\r\n";
   return Out;
 }
--- a/src/nutmegdrift/net/net_test.cpp
+++ b/src/nutmegdrift/net/net_test.cpp
@@ -159,6 +159,24 @@
   EXPECT_GT(Failed, 0U);
 }
 
+// A value from a document could add fields to a request, or end its head.
+TEST(SerialiseHead, AValueStaysOneField) {
+  const HttpRequest Request{
+      .Method = "GET",
+      .Target = "/",
+      .Headers = {{"A", std::string("b\r\nX-Evil: 1\r\n\r\nGET /\0", 22)}}};
+  EXPECT_EQ(serialise(Request),
+            "GET / HTTP/1.1\r\nA: b  X-Evil: 1    GET / \r\n\r\n");
+}
+
+TEST(IsFieldValue, RefusesWhatAReceiverReadsOtherwise) {
+  for (const char *Text : {"", "a", "a&b +#%", "a\tb", "\xc3\xbc"})
+    EXPECT_TRUE(isFieldValue(Text)) << Text;
+  for (const char *Text : {" a", "a ", "\ta", "a\r\nb", "a\nb", "\x1b", "\x7f"})
+    EXPECT_FALSE(isFieldValue(Text)) << Text;
+  EXPECT_FALSE(isFieldValue(std::string_view("a\0", 2)));
+}
+
 TEST(HeaderList, DropsFieldsNamedByConnection) {
   const HeaderList Received{{"Connection", "close, X-Hop"},
                             {"X-Hop", "1"},
