--- a/src/nutmegdrift/gateway/call_attempt.cpp
+++ b/src/nutmegdrift/gateway/call_attempt.cpp
@@ -486,8 +486,8 @@
 }
 
 void Call::attemptRefused() {
-  // A replica with another one at its address can't be reached. It is tried
-  // again now and then, in case the other one was there first.
+  // Another replica has the address, so this one can't be reached. A later
+  // request shows whether its entry is right by then.
   releaseReplica(m_answerMetadata.Misdirected ? ReplicaOutcome::Unreachable
                                               : ReplicaOutcome::Refused);
   if (retry(false, "refused"))
